Lay out the packages and the interfaces between them

Cause: an empty repository; five parts are to be built side by side and need agreed borders. Ruled out: one package of modules without subpackages, since the parts would meet in the same files; a single platform client, since each service's real protocol is still unknown. Change: subpackages by subject; result codes and refusals; the clock interface; settings and routing files with their checks; HTTP clients for table, object store and instance list, with fakes in memory; interfaces for ownership, links, membership, balancing and planning. Conclusion: the parts can be written against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+READY := $(VENV)/.ready
+
+.PHONY: setup test demo format lint types measure bench capacity faults clean
+
+$(READY): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(READY)
+
+setup: $(READY)
+
+test: $(READY)
+	$(PY) -m pytest
+
+demo: $(READY)
+	$(PY) examples/demo.py
+
+format: $(READY)
+	$(VENV)/bin/black laburnumhatch examples
+	$(VENV)/bin/ruff check --fix laburnumhatch examples
+
+lint: $(READY)
+	$(VENV)/bin/black --check laburnumhatch examples
+	$(VENV)/bin/ruff check laburnumhatch examples
+
+types: $(READY)
+	$(VENV)/bin/mypy
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/laburnumhatch/__init__.py
@@ -0,0 +1,3 @@
+"""A router for servers that own keys exclusively."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/laburnumhatch/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m laburnumhatch``."""
+
+from .commands.main import main
+
+main()
--- /dev/null
+++ b/laburnumhatch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/laburnumhatch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Snapshots of the routing files: publishing and putting into force."""
--- /dev/null
+++ b/laburnumhatch/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/laburnumhatch/links/__init__.py
@@ -0,0 +1,5 @@
+"""Streams of msgpack frames between entry instances."""
+
+from .interfaces import Links, MessageHandler
+
+__all__ = ["Links", "MessageHandler"]
--- /dev/null
+++ b/laburnumhatch/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and benchmarks."""
--- /dev/null
+++ b/laburnumhatch/ownership/__init__.py
@@ -0,0 +1,15 @@
+"""Exclusive ownership of keys: slots, rows, leases and moves."""
+
+from .owner import NoOwner, Owner, OwnershipView
+from .slots import group_name, group_of_slot, hash_key, slot_of_hash, slot_of_key
+
+__all__ = [
+    "NoOwner",
+    "Owner",
+    "OwnershipView",
+    "group_name",
+    "group_of_slot",
+    "hash_key",
+    "slot_of_hash",
+    "slot_of_key",
+]
--- /dev/null
+++ b/laburnumhatch/platform/memory.py
@@ -0,0 +1,102 @@
+"""Platform services in memory, with switches for their failures."""
+
+from dataclasses import dataclass, field
+
+from .interfaces import (
+    Absent,
+    Conflict,
+    ListedInstance,
+    OutcomeUnknown,
+    Row,
+    Unavailable,
+    Written,
+)
+
+__all__ = ["MemoryInstanceList", "MemoryObjectStore", "MemoryTable"]
+
+
+@dataclass
+class MemoryTable:
+    """Table in memory.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+    down : bool
+        Refuse every call.
+    lost_replies : int
+        So many next writes take effect but answer `OutcomeUnknown`.
+    lost_writes : int
+        So many next writes answer `OutcomeUnknown` without effect.
+    reads, writes : int
+        Calls so far.
+    """
+
+    rows: dict[str, Row] = field(default_factory=dict)
+    down: bool = False
+    lost_replies: int = 0
+    lost_writes: int = 0
+    reads: int = 0
+    writes: int = 0
+
+    async def read(self, key: str) -> Row | Absent | Unavailable:
+        """Return the latest row."""
+        self.reads += 1
+        if self.down:
+            return Unavailable("the table is down")
+        return self.rows.get(key) or Absent(key)
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int, writer: str
+    ) -> Written | Conflict | Unavailable | OutcomeUnknown:
+        """Write a row if its version is `expected_version`."""
+        self.writes += 1
+        if self.down:
+            return Unavailable("the table is down")
+        if self.lost_writes > 0:
+            self.lost_writes -= 1
+            return OutcomeUnknown("the write was lost")
+        current = self.rows.get(key)
+        found = current.version if current is not None else 0
+        if found != expected_version:
+            return Conflict(current)
+        self.rows[key] = Row(key, found + 1, writer, value)
+        if self.lost_replies > 0:
+            self.lost_replies -= 1
+            return OutcomeUnknown("the reply was lost")
+        return Written(found + 1)
+
+
+@dataclass
+class MemoryObjectStore:
+    """Object store in memory; `down` refuses every call."""
+
+    objects: dict[str, bytes] = field(default_factory=dict)
+    down: bool = False
+
+    async def get(self, name: str) -> bytes | Absent | Unavailable:
+        """Return an object's bytes."""
+        if self.down:
+            return Unavailable("the object store is down")
+        return self.objects.get(name, Absent(name))
+
+    async def put(self, name: str, content: bytes) -> Written | Unavailable | OutcomeUnknown:
+        """Store an object."""
+        if self.down:
+            return Unavailable("the object store is down")
+        self.objects[name] = content
+        return Written(1)
+
+
+@dataclass
+class MemoryInstanceList:
+    """List of instances in memory; `down` refuses every call."""
+
+    instances: tuple[ListedInstance, ...] = ()
+    down: bool = False
+
+    async def fetch(self) -> tuple[ListedInstance, ...] | Unavailable:
+        """Return the list."""
+        if self.down:
+            return Unavailable("the instance list is down")
+        return self.instances
--- /dev/null
+++ b/laburnumhatch/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: admission, retries, forwarding."""
--- /dev/null
+++ b/laburnumhatch/results/codes.py
@@ -0,0 +1,72 @@
+"""Numbered result codes of a request."""
+
+from enum import Enum, StrEnum
+
+__all__ = ["ResultCode", "Run"]
+
+
+class Run(StrEnum):
+    """Whether the upstream ran a request."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(Enum):
+    """Result of one request.
+
+    Attributes
+    ----------
+    number : int
+        The stable number, as shown to callers and in docs/RESULT-CODES.md.
+    status : int
+        The HTTP status of the answer that carries the code.
+    run : Run
+        What the code says about the request at the upstream.
+    title : str
+        One line for the problem document.
+
+    Examples
+    --------
+    >>> ResultCode.QUEUE_FULL.number, ResultCode.QUEUE_FULL.status
+    (203, 503)
+    """
+
+    ANSWERED = (0, 200, Run.YES, "The upstream answered")
+
+    NO_ROUTE = (101, 404, Run.NO, "No service takes this request")
+    KEY_MISSING = (102, 400, Run.NO, "The request carries no key")
+    HEADER_TOO_LARGE = (103, 431, Run.NO, "The request's header is too large")
+    BODY_TOO_LARGE = (104, 413, Run.NO, "The request's body is too large")
+    DEADLINE_INVALID = (105, 400, Run.NO, "The deadline header is not a number of milliseconds")
+    IDEMPOTENCY_KEY_IN_USE = (106, 409, Run.UNKNOWN, "The idempotency key was already used")
+    CALLER_LEFT = (107, 499, Run.UNKNOWN, "The caller closed its connection")
+    BODY_CUT = (108, 400, Run.UNKNOWN, "The request's body ended early")
+    IDEMPOTENCY_KEY_INVALID = (109, 400, Run.NO, "The idempotency key is not valid")
+
+    NO_CONFIGURATION = (201, 503, Run.NO, "The instance has no configuration")
+    STOPPING = (202, 503, Run.NO, "The instance is stopping")
+    QUEUE_FULL = (203, 503, Run.NO, "The queue is full")
+    DEADLINE_UNREACHABLE = (204, 503, Run.NO, "The deadline can't be met")
+    DEADLINE_PASSED = (205, 504, Run.NO, "The deadline passed before the request was sent")
+    CLAIM_UNAVAILABLE = (206, 503, Run.NO, "The idempotency key can't be claimed now")
+
+    NO_OWNER = (301, 503, Run.NO, "No server owns the key now")
+    LEASE_EXPIRED = (302, 503, Run.NO, "The instance holds no lease for the key")
+    KEY_MOVING = (303, 503, Run.NO, "The key is moving to another server")
+
+    UPSTREAM_UNREACHABLE = (401, 502, Run.NO, "No upstream accepted a connection")
+    UPSTREAM_SHED = (402, 503, Run.NO, "The upstream refused the request unrun")
+    UPSTREAM_TIMEOUT = (403, 504, Run.UNKNOWN, "The upstream did not answer in time")
+    UPSTREAM_BROKEN = (404, 502, Run.UNKNOWN, "The upstream's answer broke off")
+    UPSTREAM_FENCED = (405, 503, Run.NO, "The upstream refused the fencing token")
+    NO_TARGET = (406, 503, Run.NO, "The service has no target that takes work")
+
+    INTERNAL_ERROR = (501, 500, Run.UNKNOWN, "The instance failed on this request")
+
+    def __init__(self, number: int, status: int, run: Run, title: str) -> None:
+        self.number = number
+        self.status = status
+        self.run = run
+        self.title = title
--- /dev/null
+++ b/laburnumhatch/results/refusal.py
@@ -0,0 +1,72 @@
+"""Refusal of a request, and its problem document."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from .codes import ResultCode, Run
+
+__all__ = ["PROBLEM_CONTENT_TYPE", "Refusal", "problem_document"]
+
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+_TYPE_PREFIX = "urn:laburnumhatch:result:"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Final answer to a request that is not passed to the caller from an upstream.
+
+    Attributes
+    ----------
+    code : ResultCode
+    detail : str
+        One sentence for the caller.
+    run : Run or None
+        Overrides ``code.run`` where more is known.
+    retry_after : timedelta or None
+        When the caller may come back.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    run: Run | None = None
+    retry_after: timedelta | None = None
+
+    @property
+    def effective_run(self) -> Run:
+        """What the caller is told about the run."""
+        return self.code.run if self.run is None else self.run
+
+
+def problem_document(refusal: Refusal, trace_id: str = "") -> dict[str, Any]:
+    """Return the RFC 9457 problem document of `refusal`.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    trace_id : str, optional
+        Trace of the request, 32 hexadecimal digits.
+
+    Returns
+    -------
+    dict
+        The members ``type``, ``title``, ``status``, ``detail``, ``code``, ``run`` and ``trace``.
+
+    References
+    ----------
+    .. [1] RFC 9457, Problem Details for HTTP APIs.
+
+    Examples
+    --------
+    >>> problem_document(Refusal(ResultCode.NO_OWNER))["code"]
+    301
+    """
+    return {
+        "type": f"{_TYPE_PREFIX}{refusal.code.number}",
+        "title": refusal.code.title,
+        "status": refusal.code.status,
+        "detail": refusal.detail,
+        "code": refusal.code.number,
+        "run": refusal.effective_run.value,
+        "trace": trace_id,
+    }
--- /dev/null
+++ b/laburnumhatch/routing/__init__.py
@@ -0,0 +1,30 @@
+"""Services, routing files and the matching of requests."""
+
+from .file import RoutingFile, service_from_file
+from .match import Match, build_matcher, overlapping_kinds
+from .service import (
+    KeyPlace,
+    KeySource,
+    Objective,
+    Ownership,
+    RequestKind,
+    Service,
+    Snapshot,
+    Target,
+)
+
+__all__ = [
+    "KeyPlace",
+    "KeySource",
+    "Match",
+    "Objective",
+    "Ownership",
+    "RequestKind",
+    "RoutingFile",
+    "Service",
+    "Snapshot",
+    "Target",
+    "build_matcher",
+    "overlapping_kinds",
+    "service_from_file",
+]
--- /dev/null
+++ b/laburnumhatch/routing/file.py
@@ -0,0 +1,166 @@
+"""Routing files: the checked model, and its translation to services."""
+
+from datetime import timedelta
+from typing import Annotated, Self
+
+from pydantic import Field, field_validator, model_validator
+
+from ..settings import CheckedModel
+from .service import KeyPlace, KeySource, Objective, Ownership, RequestKind, Service, Target
+
+__all__ = ["RoutingFile", "service_from_file"]
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+MAX_SLOT_COUNT = 2**20
+MAX_BODY_BYTES = 2**30
+IP_NUMBER = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"
+
+
+class KeyEntry(CheckedModel):
+    """Where the key of a request is found: exactly one of the three."""
+
+    path: str | None = None
+    header: str | None = None
+    query: str | None = None
+
+    @model_validator(mode="after")
+    def _one_place(self) -> Self:
+        if sum(value is not None for value in (self.path, self.header, self.query)) != 1:
+            raise ValueError("expected exactly one of path, header and query")
+        return self
+
+
+class OwnershipEntry(CheckedModel):
+    """Exclusive ownership of the service's keys."""
+
+    slots: int = Field(default=1024, ge=1, le=MAX_SLOT_COUNT)
+    groups: int = Field(default=1, ge=1)
+    checks_fencing: bool = False
+    objective: Objective = Objective.UNAVAILABLE_TIME
+
+    @model_validator(mode="after")
+    def _even_groups(self) -> Self:
+        if self.slots & (self.slots - 1):
+            raise ValueError("slots must be a power of two")
+        if self.slots % self.groups:
+            raise ValueError("groups must divide slots")
+        return self
+
+
+class TargetEntry(CheckedModel):
+    """One upstream server."""
+
+    name: Name
+    host: str = Field(pattern=IP_NUMBER)
+    port: int = Field(ge=1, le=65535)
+    data_centre: str = Field(min_length=1)
+
+
+class KindEntry(CheckedModel):
+    """One kind of request."""
+
+    method: str = Field(pattern=r"^[A-Z]+$")
+    path: str = Field(pattern=r"^/")
+    repeatable: bool = False
+    deadline_ms: int = Field(gt=0, le=3_600_000)
+    weight: float = Field(default=1.0, gt=0.0, le=1000.0)
+    retry_limit: int = Field(default=1, ge=0, le=5)
+    queue_limit: int = Field(default=64, ge=0, le=10_000)
+    body_limit_bytes: int = Field(default=65_536, ge=0, le=MAX_BODY_BYTES)
+
+
+class TargetsEntry(CheckedModel):
+    """The upstream servers and what each of them takes."""
+
+    slots: int = Field(ge=1, le=10_000)
+    connections: int = Field(default=100, ge=1, le=100_000)
+    servers: tuple[TargetEntry, ...] = Field(min_length=1)
+
+    @field_validator("servers")
+    @classmethod
+    def _unique_names(cls, servers: tuple[TargetEntry, ...]) -> tuple[TargetEntry, ...]:
+        names = [server.name for server in servers]
+        repeated = sorted({name for name in names if names.count(name) > 1})
+        if repeated:
+            raise ValueError(f"two servers are called {', '.join(repeated)}")
+        return servers
+
+
+class RoutingFile(CheckedModel):
+    """A service's routing file.
+
+    Attributes
+    ----------
+    service : str
+    key : KeyEntry or None
+    ownership : OwnershipEntry or None
+        Present where each key has one owning server; needs `key`.
+    targets : TargetsEntry
+    kinds : dict of str to KindEntry
+    """
+
+    service: Name
+    key: KeyEntry | None = None
+    ownership: OwnershipEntry | None = None
+    targets: TargetsEntry
+    kinds: dict[Name, KindEntry] = Field(min_length=1)
+
+    @model_validator(mode="after")
+    def _key_for_owned(self) -> Self:
+        if self.ownership is not None and self.key is None:
+            raise ValueError("ownership needs key")
+        if self.key is None or self.key.path is None:
+            return self
+        segment = "{" + self.key.path + "}"
+        for name, kind in self.kinds.items():
+            if segment not in kind.path.split("/"):
+                raise ValueError(f"kinds.{name}.path has no segment {segment} for the key")
+        return self
+
+
+def service_from_file(file: RoutingFile) -> Service:
+    """Return the service that a routing file describes."""
+    return Service(
+        name=file.service,
+        kinds=tuple(_kind(name, kind) for name, kind in file.kinds.items()),
+        targets=tuple(_target(server) for server in file.targets.servers),
+        target_slots=file.targets.slots,
+        target_connections=file.targets.connections,
+        key=_key_source(file.key),
+        ownership=_ownership(file.ownership),
+    )
+
+
+def _kind(name: str, entry: KindEntry) -> RequestKind:
+    return RequestKind(
+        name=name,
+        method=entry.method,
+        path=entry.path,
+        repeatable=entry.repeatable,
+        deadline=timedelta(milliseconds=entry.deadline_ms),
+        weight=entry.weight,
+        retry_limit=entry.retry_limit,
+        queue_limit=entry.queue_limit,
+        body_limit=entry.body_limit_bytes,
+    )
+
+
+def _target(entry: TargetEntry) -> Target:
+    return Target(entry.name, entry.host, entry.port, entry.data_centre)
+
+
+def _key_source(entry: KeyEntry | None) -> KeySource | None:
+    if entry is None:
+        return None
+    if entry.path is not None:
+        return KeySource(KeyPlace.PATH, entry.path)
+    if entry.header is not None:
+        return KeySource(KeyPlace.HEADER, entry.header)
+    assert entry.query is not None
+    return KeySource(KeyPlace.QUERY, entry.query)
+
+
+def _ownership(entry: OwnershipEntry | None) -> Ownership | None:
+    if entry is None:
+        return None
+    return Ownership(entry.slots, entry.groups, entry.checks_fencing, entry.objective)
--- /dev/null
+++ b/laburnumhatch/routing/match.py
@@ -0,0 +1,124 @@
+"""Matching of requests to services, kinds and keys."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
+
+from .service import KeyPlace, KeySource, RequestKind, Service, Snapshot
+
+__all__ = ["Match", "build_matcher", "overlapping_kinds"]
+
+Matcher = Callable[[str, str, Mapping[str, str]], "Match | None"]
+
+
+@dataclass(frozen=True, slots=True)
+class Match:
+    """The service, kind and key of a request.
+
+    Attributes
+    ----------
+    service : Service
+    kind : RequestKind
+    key : str or None
+        None where the service has no key, or the request lacks it.
+    """
+
+    service: Service
+    kind: RequestKind
+    key: str | None
+
+
+def build_matcher(snapshot: Snapshot) -> Matcher:
+    """Return a function that matches requests against a snapshot.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+
+    Returns
+    -------
+    callable
+        Takes the method, the request target (path and query) and the headers with names in
+        lower case; returns a `Match`, or None where no kind fits.
+
+    Notes
+    -----
+    Kinds are indexed by method, number of segments and first fixed segment, so that a match
+    costs one look-up and a scan of the few kinds that share all three.
+    """
+    index: dict[tuple[str, int, str], list[tuple[Service, RequestKind, list[str]]]] = {}
+    for service in snapshot.services:
+        for kind in service.kinds:
+            segments = _segments(kind.path)
+            bucket = index.setdefault((kind.method, len(segments), _head(segments)), [])
+            bucket.append((service, kind, segments))
+
+    def match(method: str, target: str, headers: Mapping[str, str]) -> Match | None:
+        path, _, query = target.partition("?")
+        segments = _segments(path)
+        for head in (segments[0], ""):
+            for service, kind, template in index.get((method, len(segments), head), ()):
+                if _fits(template, segments):
+                    key = _find_key(service.key, template, segments, query, headers)
+                    return Match(service, kind, key)
+        return None
+
+    return match
+
+
+def overlapping_kinds(u: RequestKind, v: RequestKind) -> bool:
+    """Return whether some request fits both kinds.
+
+    Examples
+    --------
+    >>> from datetime import timedelta
+    >>> def kind(path):
+    ...     return RequestKind("k", "GET", path, True, timedelta(seconds=1), 1, 0, 0, 0)
+    >>> overlapping_kinds(kind("/a/{x}"), kind("/a/b"))
+    True
+    >>> overlapping_kinds(kind("/a/{x}"), kind("/b/{x}"))
+    False
+    """
+    if u.method != v.method:
+        return False
+    left = _segments(u.path)
+    right = _segments(v.path)
+    if len(left) != len(right):
+        return False
+    return all(a == b or _is_open(a) or _is_open(b) for a, b in zip(left, right, strict=True))
+
+
+def _segments(path: str) -> list[str]:
+    return path[1:].split("/")
+
+
+def _is_open(segment: str) -> bool:
+    return segment.startswith("{") and segment.endswith("}")
+
+
+def _head(segments: list[str]) -> str:
+    return "" if _is_open(segments[0]) else segments[0]
+
+
+def _fits(template: list[str], segments: list[str]) -> bool:
+    return all(
+        part == segment or (_is_open(part) and segment != "")
+        for part, segment in zip(template, segments, strict=True)
+    )
+
+
+def _find_key(
+    source: KeySource | None,
+    template: list[str],
+    segments: list[str],
+    query: str,
+    headers: Mapping[str, str],
+) -> str | None:
+    if source is None:
+        return None
+    if source.place is KeyPlace.PATH:
+        return unquote(segments[template.index("{" + source.name + "}")])
+    if source.place is KeyPlace.HEADER:
+        return headers.get(source.name.lower()) or None
+    values = parse_qs(query).get(source.name)
+    return values[0] if values else None
--- /dev/null
+++ b/laburnumhatch/settings/instance.py
@@ -0,0 +1,64 @@
+"""Settings of an entry instance."""
+
+from datetime import timedelta
+from typing import Annotated
+
+from pydantic import Field
+
+from .document import CheckedModel
+
+__all__ = ["InstanceSettings", "ListenAddress", "PlatformAddresses"]
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+IP_NUMBER = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"
+
+
+class ListenAddress(CheckedModel):
+    """An IP number and a port."""
+
+    host: str = Field(pattern=IP_NUMBER)
+    port: Port
+
+
+class PlatformAddresses(CheckedModel):
+    """Base URLs of the platform's services."""
+
+    table: str
+    object_store: str
+    instance_list: str
+
+
+class InstanceSettings(CheckedModel):
+    """Settings of the entry daemon.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the instance.
+    data_centre : str
+    callers, peers, admin : ListenAddress
+        Where callers, other entry instances and operators connect.
+    platform : PlatformAddresses
+    peer_key : str
+        Secret that entry instances share, at least 16 characters.
+    advertise_host : str
+        IP number by which other instances reach this one.
+    stop_within : timedelta
+        Longest time a graceful shutdown may take.
+    trace_file : str or None
+        File that spans are appended to, one JSON object a line.
+    trace_share : float
+        Share of requests without a sampled ``traceparent`` whose spans are recorded.
+    """
+
+    name: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+    data_centre: str = Field(min_length=1)
+    callers: ListenAddress
+    peers: ListenAddress
+    admin: ListenAddress
+    platform: PlatformAddresses
+    peer_key: str = Field(min_length=16)
+    advertise_host: str = Field(default="127.0.0.1", pattern=IP_NUMBER)
+    stop_within: timedelta = timedelta(seconds=30)
+    trace_file: str | None = None
+    trace_share: float = Field(default=0.01, ge=0.0, le=1.0)
--- /dev/null
+++ b/laburnumhatch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for upstream servers."""
--- /dev/null
+++ b/laburnumhatch/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, traces and metrics."""
