--- /dev/null
+++ b/laburnumhatch/configuration/collect.py
@@ -0,0 +1,131 @@
+"""Collection of the routing files that sit beside each service's code."""
+
+import ipaddress
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from itertools import combinations
+from pathlib import Path
+
+from ..routing import RequestKind, RoutingFile, Service, overlapping_kinds, service_from_file
+from ..settings import DocumentError, read_document
+from .snapshot import MAX_SNAPSHOT_BYTES, encode_snapshot
+
+__all__ = ["FILE_SUFFIX", "CollectedFile", "CollectionError", "collect", "cross_check"]
+
+FILE_SUFFIX = ".routing.json"
+
+
+class CollectionError(ValueError):
+    """Routing files that can't be published.
+
+    Parameters
+    ----------
+    problems : list of str
+        One line for each problem of any file, each naming the file and the line or field.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+@dataclass(frozen=True, slots=True)
+class CollectedFile:
+    """A routing file and where it was found."""
+
+    source: str
+    file: RoutingFile
+
+    @property
+    def service(self) -> Service:
+        """The service that the file describes."""
+        return service_from_file(self.file)
+
+
+def collect(directories: Sequence[Path]) -> tuple[CollectedFile, ...]:
+    """Return the valid routing files under `directories`, in order of service.
+
+    Parameters
+    ----------
+    directories : sequence of Path
+        Searched with everything below them for names that end in ``.routing.json``; a file
+        given by name is taken as it is.
+
+    Raises
+    ------
+    CollectionError
+        With all problems of all files: unreadable or invalid files, two files that claim one
+        service, kinds of request that overlap, servers that share an address.
+    """
+    problems: list[str] = []
+    collected: list[CollectedFile] = []
+    for path in _find_files(directories, problems):
+        try:
+            collected.append(CollectedFile(str(path), read_document(path, RoutingFile)))
+        except DocumentError as e:
+            problems.extend(f"{e.source}: {problem}" for problem in e.problems)
+    problems.extend(cross_check(collected))
+    if problems:
+        raise CollectionError(problems)
+    return tuple(sorted(collected, key=lambda found: found.file.service))
+
+
+def cross_check(collected: Sequence[CollectedFile]) -> list[str]:
+    """Return the problems that several files have together, and those of addresses."""
+    problems: list[str] = []
+    for found in collected:
+        problems.extend(_address_problems(found))
+        problems.extend(_kind_problems(found, found))
+    for u, v in combinations(collected, 2):
+        if u.file.service == v.file.service:
+            problems.append(f"{v.source}: field service: {u.source} also claims {v.file.service!r}")
+        else:
+            problems.extend(_kind_problems(u, v))
+    size = len(encode_snapshot(found.file for found in collected))
+    if size > MAX_SNAPSHOT_BYTES:
+        problems.append(f"all files: {size} bytes together, at most {MAX_SNAPSHOT_BYTES}")
+    return problems
+
+
+def _find_files(directories: Sequence[Path], problems: list[str]) -> list[Path]:
+    paths: dict[Path, Path] = {}
+    for directory in directories:
+        found = _files_under(directory)
+        if not found:
+            problems.append(f"{directory}: no file whose name ends in {FILE_SUFFIX}")
+        for path in found:
+            paths.setdefault(path.resolve(), path)
+    return list(paths.values())
+
+
+def _files_under(directory: Path) -> list[Path]:
+    if directory.is_file():
+        return [directory]
+    return sorted(path for path in directory.rglob(f"*{FILE_SUFFIX}") if path.is_file())
+
+
+def _address_problems(found: CollectedFile) -> Iterator[str]:
+    addresses: dict[tuple[str, int], str] = {}
+    for i, server in enumerate(found.file.targets.servers):
+        field = f"{found.source}: field targets.servers.{i}"
+        try:
+            ipaddress.IPv4Address(server.host)
+        except ValueError as e:
+            yield f"{field}.host: {e}"
+        other = addresses.setdefault((server.host, server.port), server.name)
+        if other != server.name:
+            yield f"{field}: same host and port as server {other!r}"
+
+
+def _kind_problems(u: CollectedFile, v: CollectedFile) -> Iterator[str]:
+    pairs: Iterable[tuple[RequestKind, RequestKind]]
+    if u is v:
+        pairs = combinations(u.service.kinds, 2)
+    else:
+        pairs = ((a, b) for a in u.service.kinds for b in v.service.kinds)
+    for a, b in pairs:
+        if overlapping_kinds(a, b):
+            yield (
+                f"{v.source}: field kinds.{b.name}.path: {b.method} {b.path} overlaps "
+                f"kinds.{a.name} ({a.method} {a.path}) of {u.source}"
+            )
