--- a/laburnumhatch/planning/interfaces.py
+++ b/laburnumhatch/planning/interfaces.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from ..ownership.slots import slot_of_hash
 from ..routing import Objective
 
 __all__ = ["Move", "PlanningView", "ServerCondition"]
@@ -49,6 +50,10 @@
         Load of the hottest key hashes, those in `key_owners` included.
     since_last_move : timedelta
         Time since the last move of this group took effect.
+    first_slot : int
+        Slot that the first item of `owners` and of `slot_load` stands for.
+    slot_count : int
+        Slots of the service, over all its groups; 0 where this group holds them all.
     """
 
     objective: Objective
@@ -58,6 +63,12 @@
     key_owners: Mapping[int, int]
     key_load: Mapping[int, float]
     since_last_move: timedelta
+    first_slot: int = 0
+    slot_count: int = 0
+
+    def slot_of_key(self, key_hash: int) -> int:
+        """Return the slot of a key's hash."""
+        return slot_of_hash(key_hash, self.slot_count or len(self.owners))
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/laburnumhatch/planning/load.py
@@ -0,0 +1,162 @@
+"""Measured load of slots and of the hottest keys."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import numpy as np
+
+from ..clocks import Clock
+
+__all__ = ["LoadMeter", "LoadReport", "merge_load_reports"]
+
+DECAY_TIME = timedelta(seconds=10)
+HOT_KEYS_KEPT = 128
+HOT_KEYS_BUFFERED = 1024
+NEGLIGIBLE_SECONDS = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that one or more entry instances saw.
+
+    Attributes
+    ----------
+    slots : dict of int to float
+        Load of each slot with traffic, in seconds of server work a second; the load of all its
+        keys is included.
+    keys : dict of int to float
+        Load of the hottest key hashes; never more than was seen.
+    """
+
+    slots: dict[int, float]
+    keys: dict[int, float]
+
+
+class LoadMeter:
+    """Meter of one service's load at one entry instance.
+
+    Parameters
+    ----------
+    clock : Clock
+    slot_count : int
+    decay_time : timedelta, optional
+        Time constant of the exponential decay of older requests.
+    hot_keys : int, optional
+        Keys that are kept from one report to the next.
+
+    Notes
+    -----
+    Slots are counted exactly. Keys are counted by the batched form of the Misra-Gries summary
+    [1]_: when too many keys are held, the count of the largest one to be dropped is subtracted
+    from all. A key's count is too low by at most the work seen divided by the keys kept, and
+    summaries of many instances can be merged. `record` costs O(1), amortized.
+
+    References
+    ----------
+    .. [1] P. Agarwal et al., Mergeable summaries, PODS 2012.
+
+    Examples
+    --------
+    >>> from twisted.internet import task
+    >>> from laburnumhatch.clocks import ReactorClock
+    >>> reactor = task.Clock()
+    >>> meter = LoadMeter(clock=ReactorClock(reactor), slot_count=4)
+    >>> meter.record(slot=2, key_hash=99, work=0.5)
+    >>> reactor.advance(1.0)
+    >>> report = meter.report()
+    >>> round(report.slots[2], 1), round(report.keys[99], 1)
+    (0.5, 0.5)
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        slot_count: int,
+        decay_time: timedelta = DECAY_TIME,
+        hot_keys: int = HOT_KEYS_KEPT,
+    ) -> None:
+        self._clock = clock
+        self._decay_time = decay_time.total_seconds()
+        self._hot_keys = hot_keys
+        self._buffered = max(HOT_KEYS_BUFFERED, 2 * hot_keys)
+        self._slot_work = np.zeros(slot_count)
+        self._recent: dict[int, float] = {}
+        self._key_work: dict[int, float] = {}
+        self._span = 0.0
+        self._decayed_at = clock.now()
+
+    def record(self, *, slot: int, key_hash: int, work: float) -> None:
+        """Count a request.
+
+        Parameters
+        ----------
+        slot : int
+        key_hash : int
+        work : float
+            Seconds of server work that the request took.
+        """
+        recent = self._recent
+        recent[slot] = recent.get(slot, 0.0) + work
+        keys = self._key_work
+        keys[key_hash] = keys.get(key_hash, 0.0) + work
+        if len(keys) > self._buffered:
+            self._key_work = _keep_largest(keys, self._hot_keys)
+
+    def report(self) -> LoadReport:
+        """Return the load up to now; call it about once a second."""
+        self._decay()
+        rate = 1.0 / self._span if self._span > 0.0 else 0.0
+        busy = np.flatnonzero(self._slot_work)
+        loads = self._slot_work[busy] * rate
+        slots = dict(zip(busy.tolist(), loads.tolist(), strict=True))
+        keys = {key_hash: work * rate for key_hash, work in self._key_work.items()}
+        return LoadReport(slots, keys)
+
+    def _decay(self) -> None:
+        now = self._clock.now()
+        elapsed = (now - self._decayed_at).total_seconds()
+        self._decayed_at = now
+        factor = math.exp(-elapsed / self._decay_time)
+        self._slot_work *= factor
+        for slot, work in self._recent.items():
+            self._slot_work[slot] += work
+        self._recent.clear()
+        self._slot_work[self._slot_work < NEGLIGIBLE_SECONDS] = 0.0
+        # The span is the time that a constant rate would have needed to leave the decayed sum.
+        self._span = self._span * factor + elapsed
+        self._key_work = {
+            key_hash: work * factor
+            for key_hash, work in _keep_largest(self._key_work, self._hot_keys).items()
+        }
+
+
+def merge_load_reports(reports: Iterable[LoadReport], hot_keys: int = HOT_KEYS_KEPT) -> LoadReport:
+    """Return the load that several entry instances saw together.
+
+    Examples
+    --------
+    >>> merge_load_reports([LoadReport({1: 0.5}, {7: 0.5}), LoadReport({1: 0.25}, {})])
+    LoadReport(slots={1: 0.75}, keys={7: 0.5})
+    """
+    slots: dict[int, float] = {}
+    keys: dict[int, float] = {}
+    for report in reports:
+        _add(slots, report.slots)
+        _add(keys, report.keys)
+    return LoadReport(slots, _keep_largest(keys, hot_keys))
+
+
+def _add(total: dict[int, float], part: dict[int, float]) -> None:
+    for key, load in part.items():
+        total[key] = total.get(key, 0.0) + load
+
+
+def _keep_largest(counts: dict[int, float], kept: int) -> dict[int, float]:
+    if len(counts) <= kept:
+        return counts
+    ranked = sorted(counts.items(), key=lambda item: -item[1])
+    dropped = ranked[kept][1]
+    return {key: count - dropped for key, count in ranked[:kept] if count > dropped}
--- /dev/null
+++ b/laburnumhatch/planning/tests/test_evacuation.py
@@ -0,0 +1,48 @@
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...routing import Objective
+from ..evacuation import plan_evacuation
+from ..interfaces import PlanningView, ServerCondition
+
+
+@st.composite
+def views(draw):
+    servers = [
+        ServerCondition(f"s{i}", takes_keys=draw(st.booleans()), alive=draw(st.booleans()))
+        for i in range(draw(st.integers(1, 5)))
+    ]
+    owner = st.integers(-1, len(servers) - 1)
+    owners = draw(st.lists(owner, min_size=1, max_size=12))
+    load = st.floats(0.0, 10.0)
+    return PlanningView(
+        Objective.UNAVAILABLE_TIME,
+        servers,
+        owners,
+        [draw(load) for _ in owners],
+        draw(st.dictionaries(st.integers(0, 2**64 - 1), owner, max_size=3)),
+        {},
+        timedelta(seconds=60),
+    )
+
+
+@given(views())
+def test_every_stranded_slot_and_no_other_moves_to_a_server_that_takes_keys(view):
+    moves = plan_evacuation(view)
+    takers = {i for i, server in enumerate(view.servers) if server.takes_keys}
+    stranded = {i for i, owner in enumerate(view.owners) if owner not in takers}
+    moved = [move.slot for move in moves if move.key_hash is None]
+    assert len(moved) == len(set(moved))
+    assert set(moved) == (stranded if takers else set())
+    assert all(move.destination in takers for move in moves if move.key_hash is None)
+
+
+def test_slots_of_a_new_group_spread_evenly():
+    servers = [ServerCondition(f"s{i}", True, True) for i in range(4)]
+    view = PlanningView(
+        Objective.IMBALANCE, servers, [-1] * 16, [0.0] * 16, {}, {}, timedelta(seconds=60)
+    )
+    destinations = [move.destination for move in plan_evacuation(view)]
+    assert all(destinations.count(i) == 4 for i in range(4))
