--- /dev/null
+++ b/laburnumhatch/telemetry/traces.py
@@ -0,0 +1,108 @@
+"""Traces: a provider, and an exporter of JSON lines that runs on the loop."""
+
+import json
+from collections import deque
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any, TextIO
+
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor, SpanExporter, SpanExportResult
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+
+from ..clocks import Clock
+
+__all__ = ["JsonLineExporter", "build_tracer_provider"]
+
+FLUSH_INTERVAL = timedelta(seconds=1)
+BUFFERED_SPANS = 10_000
+
+
+class JsonLineExporter(SpanExporter):
+    """Exporter that buffers spans and writes them from the loop.
+
+    Parameters
+    ----------
+    stream : text file
+    clock : Clock
+
+    Attributes
+    ----------
+    dropped : int
+        Spans that found the buffer full.
+    """
+
+    def __init__(self, stream: TextIO, clock: Clock) -> None:
+        self._stream = stream
+        self._clock = clock
+        self._buffer: deque[ReadableSpan] = deque()
+        self._scheduled = False
+        self.dropped = 0
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Buffer ended spans."""
+        for span in spans:
+            if len(self._buffer) >= BUFFERED_SPANS:
+                self.dropped += 1
+                continue
+            self._buffer.append(span)
+        if not self._scheduled:
+            self._scheduled = True
+            self._clock.call_later(FLUSH_INTERVAL, self._flush_scheduled)
+        return SpanExportResult.SUCCESS
+
+    def force_flush(self, timeout_millis: int = 0) -> bool:
+        """Write what is buffered."""
+        while self._buffer:
+            self._stream.write(json.dumps(_span_fields(self._buffer.popleft())) + "\n")
+        self._stream.flush()
+        return True
+
+    def shutdown(self) -> None:
+        """Write what is buffered."""
+        self.force_flush()
+
+    def _flush_scheduled(self) -> None:
+        self._scheduled = False
+        self.force_flush()
+
+
+def build_tracer_provider(
+    instance: str, data_centre: str, share: float, exporter: SpanExporter | None
+) -> TracerProvider:
+    """Return a provider that records a share of the traces.
+
+    Parameters
+    ----------
+    instance, data_centre : str
+        Resource attributes of every span.
+    share : float
+        Share of the traces begun here that are recorded; a sampled or unsampled parent decides
+        for its own trace.
+    exporter : SpanExporter or None
+        None records nothing, while trace identifiers are still passed on.
+    """
+    sampler = ParentBased(TraceIdRatioBased(share if exporter is not None else 0.0))
+    resource = Resource({"service.instance.id": instance, "data_centre": data_centre})
+    provider = TracerProvider(sampler=sampler, resource=resource, shutdown_on_exit=False)
+    if exporter is not None:
+        provider.add_span_processor(SimpleSpanProcessor(exporter))
+    return provider
+
+
+def _span_fields(span: ReadableSpan) -> dict[str, Any]:
+    context = span.get_span_context()
+    parent = span.parent
+    return {
+        "trace": f"{context.trace_id:032x}" if context else "",
+        "span": f"{context.span_id:016x}" if context else "",
+        "parent": f"{parent.span_id:016x}" if parent else None,
+        "name": span.name,
+        "kind": span.kind.name.lower(),
+        "start_ns": span.start_time,
+        "end_ns": span.end_time,
+        "status": span.status.status_code.name.lower(),
+        "attributes": dict(span.attributes or {}),
+        "resource": dict(span.resource.attributes),
+    }
