Link entry instances by authenticated streams of bounded frames

Cause: instances could not talk to each other. Adds the codec of numbered message dataclasses, frames with a keyed digest over place and body, the handshake as a state machine with mutual HMAC proofs over names, versions and nonces, and the streams with bounds on handshake, silence and send buffer.

Failing first: without the allowance for its own pause an instance dropped all streams after waking; the claimed length of a frame is not checked by the Unpacker before the bytes arrive, so the bound is that of its buffer (test with a claim of 4 GB, closed by the handshake's deadline). Frames carry a tag each: without it test_sealed_frames_are_not_forged fails for all four faults.

Ruled out: Int32StringReceiver beside msgpack, as the Unpacker bounds its buffer already.

--- a/laburnumhatch/links/__init__.py
+++ b/laburnumhatch/links/__init__.py
@@ -1,5 +1,19 @@
 """Streams of msgpack frames between entry instances."""
 
+from .codec import Codec, MessageInvalid
+from .dialer import PeerAddress
 from .interfaces import Links, MessageHandler
+from .messages import LINK_MESSAGES
+from .peer_links import PeerLinks
+from .stream import StreamTimes
 
-__all__ = ["Links", "MessageHandler"]
+__all__ = [
+    "LINK_MESSAGES",
+    "Codec",
+    "Links",
+    "MessageHandler",
+    "MessageInvalid",
+    "PeerAddress",
+    "PeerLinks",
+    "StreamTimes",
+]
--- /dev/null
+++ b/laburnumhatch/links/handshake.py
@@ -0,0 +1,234 @@
+"""The handshake that proves the shared key in both directions."""
+
+import hmac
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from automat import NoTransition, TypeMachineBuilder
+
+from .messages import Challenge, Hello, Proof, Rejection, Welcome
+from .proofs import StreamKeys, derive_secrets
+
+__all__ = [
+    "LOWEST_VERSION",
+    "NONCE_BYTES",
+    "VERSION",
+    "Established",
+    "Handshake",
+    "HandshakeFailed",
+]
+
+VERSION = 1
+# A release speaks the version before its own too, so that instances are replaced one by one.
+LOWEST_VERSION = 1
+NONCE_BYTES = 32
+
+
+class HandshakeFailed(ValueError):
+    """The peer did not prove the key, or broke the order of the handshake."""
+
+
+@dataclass(frozen=True, slots=True)
+class Established:
+    """A stream whose handshake is complete.
+
+    Attributes
+    ----------
+    peer : str
+        Proven name of the instance at the other end.
+    dialer : str
+        Name of the instance that dialled.
+    version : int
+        Highest protocol version that both speak.
+    sending_key, receiving_key : bytes
+    """
+
+    peer: str
+    dialer: str
+    version: int
+    sending_key: bytes
+    receiving_key: bytes
+
+
+class _Inputs(Protocol):
+    def dial(self) -> None: ...
+    def hello(self, message: Hello) -> None: ...
+    def challenge(self, message: Challenge) -> None: ...
+    def proof(self, message: Proof) -> None: ...
+    def welcome(self) -> None: ...
+    def fail(self) -> None: ...
+
+
+class Handshake:
+    """One end of a handshake; sends through a callable and keeps no time.
+
+    Parameters
+    ----------
+    own : str
+        Name of this instance.
+    peer : str or None
+        Name of the instance that is dialled; None at the end that accepts.
+    shared_key : bytes
+    send : callable
+        Takes a message to send unsealed.
+
+    Notes
+    -----
+    Dialer: `Hello`; acceptor: `Challenge` with its proof; dialer: `Proof`; acceptor: `Welcome`,
+    sealed. Each end derives the stream's keys only after it has checked the other's proof, and
+    sends nothing else before. The order is a state machine: a message in any other state fails
+    the handshake.
+    """
+
+    def __init__(
+        self, own: str, peer: str | None, shared_key: bytes, send: Callable[[object], None]
+    ) -> None:
+        self._own = own
+        self._peer = peer
+        self._shared_key = shared_key
+        self._send = send
+        self._hello: Hello | None = None
+        self._challenge: Challenge | None = None
+        self._expected_proof = b""
+        self._keys = StreamKeys(b"", b"")
+        self._established: Established | None = None
+        self._machine = _new_machine(self)
+
+    @property
+    def established(self) -> Established | None:
+        """The result once this end may send; the dialer still expects the sealed `Welcome`."""
+        return self._established
+
+    def start(self) -> None:
+        """Begin, at the end that dials."""
+        self._machine.dial()
+
+    def receive(self, message: Any) -> None:
+        """Take the peer's next message.
+
+        Raises
+        ------
+        HandshakeFailed
+            If the message is out of order or proves nothing; the stream must be closed.
+        """
+        try:
+            self._receive(message)
+        except NoTransition as e:
+            raise HandshakeFailed(f"{type(message).__name__} is out of order") from e
+
+    def _receive(self, message: Any) -> None:
+        if isinstance(message, Rejection):
+            self._fail(
+                f"the peer refuses: {message.reason}; "
+                f"it speaks versions {message.lowest} to {message.highest}"
+            )
+        elif isinstance(message, Hello):
+            self._machine.hello(message)
+        elif isinstance(message, Challenge):
+            self._machine.challenge(message)
+        elif isinstance(message, Proof):
+            self._machine.proof(message)
+        elif isinstance(message, Welcome):
+            self._machine.welcome()
+        else:
+            self._fail(f"{type(message).__name__} before the handshake's end")
+
+    def _fail(self, reason: str) -> None:
+        self._machine.fail()
+        raise HandshakeFailed(reason)
+
+    def _send_hello(self) -> None:
+        assert self._peer is not None
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        self._hello = Hello(LOWEST_VERSION, VERSION, self._own, self._peer, nonce)
+        self._send(self._hello)
+
+    def _answer_hello(self, hello: Hello) -> None:
+        if hello.receiver != self._own or hello.sender == self._own:
+            self._reject(f"this is {self._own}")
+        if len(hello.nonce) != NONCE_BYTES:
+            self._reject("the nonce has a wrong length")
+        if _common_version(hello.lowest, hello.highest) is None:
+            self._reject(f"versions {hello.lowest} to {hello.highest} are not spoken here")
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        unproven = Challenge(LOWEST_VERSION, VERSION, nonce, b"")
+        stream = derive_secrets(self._shared_key, hello, unproven)
+        self._peer = hello.sender
+        self._hello = hello
+        self._expected_proof = stream.dialer_proof
+        self._keys = stream.keys
+        self._send(Challenge(LOWEST_VERSION, VERSION, nonce, stream.acceptor_proof))
+
+    def _answer_challenge(self, challenge: Challenge) -> None:
+        assert self._hello is not None and self._peer is not None
+        if len(challenge.nonce) != NONCE_BYTES:
+            self._fail("the nonce has a wrong length")
+        stream = derive_secrets(self._shared_key, self._hello, challenge)
+        if not hmac.compare_digest(challenge.proof, stream.acceptor_proof):
+            self._fail("the acceptor doesn't hold the shared key")
+        version = _common_version(challenge.lowest, challenge.highest)
+        if version is None:
+            self._fail("the acceptor speaks no common version")
+        else:
+            self._send(Proof(stream.dialer_proof))
+            self._established = Established(
+                self._peer, self._own, version, stream.keys.dialer, stream.keys.acceptor
+            )
+
+    def _check_proof(self, proof: Proof) -> None:
+        assert self._hello is not None and self._peer is not None
+        if not hmac.compare_digest(proof.proof, self._expected_proof):
+            self._reject("the dialer doesn't hold the shared key")
+        version = _common_version(self._hello.lowest, self._hello.highest)
+        assert version is not None
+        self._established = Established(
+            self._peer, self._peer, version, self._keys.acceptor, self._keys.dialer
+        )
+
+    def _reject(self, reason: str) -> None:
+        self._send(Rejection(LOWEST_VERSION, VERSION, reason))
+        self._fail(reason)
+
+
+def _common_version(lowest: int, highest: int) -> int | None:
+    version = min(highest, VERSION)
+    return version if version >= max(lowest, LOWEST_VERSION) else None
+
+
+def _build_machine() -> Callable[[Handshake], _Inputs]:
+    builder = TypeMachineBuilder(_Inputs, Handshake)
+    idle = builder.state("idle")
+    awaiting_challenge = builder.state("awaiting challenge")
+    awaiting_proof = builder.state("awaiting proof")
+    awaiting_welcome = builder.state("awaiting welcome")
+    done = builder.state("done")
+    failed = builder.state("failed")
+
+    @idle.upon(_Inputs.dial).to(awaiting_challenge)
+    def dial(inputs: _Inputs, handshake: Handshake) -> None:
+        handshake._send_hello()
+
+    @idle.upon(_Inputs.hello).to(awaiting_proof)
+    def hello(inputs: _Inputs, handshake: Handshake, message: Hello) -> None:
+        handshake._answer_hello(message)
+
+    @awaiting_challenge.upon(_Inputs.challenge).to(awaiting_welcome)
+    def challenge(inputs: _Inputs, handshake: Handshake, message: Challenge) -> None:
+        handshake._answer_challenge(message)
+
+    @awaiting_proof.upon(_Inputs.proof).to(done)
+    def proof(inputs: _Inputs, handshake: Handshake, message: Proof) -> None:
+        handshake._check_proof(message)
+
+    @awaiting_welcome.upon(_Inputs.welcome).to(done)
+    def welcome(inputs: _Inputs, handshake: Handshake) -> None:
+        """Complete the dialer's end."""
+
+    for state in (idle, awaiting_challenge, awaiting_proof, awaiting_welcome, done, failed):
+        state.upon(_Inputs.fail).to(failed).returns(None)
+    return builder.build()
+
+
+_new_machine = _build_machine()
--- /dev/null
+++ b/laburnumhatch/links/peer_links.py
@@ -0,0 +1,238 @@
+"""The streams of one entry instance to the others."""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import logbook
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.protocol import Factory
+
+from ..clocks import Clock, milliseconds
+from .codec import Codec
+from .dialer import Dialer, PeerAddress
+from .interfaces import MessageHandler
+from .stream import PeerStream, StreamTimes
+
+__all__ = ["PeerLinks"]
+
+CONNECT_TIMEOUT = milliseconds(1000)
+# Accepted connections that may be in their handshake at a time.
+MAX_PENDING = 64
+
+_log = logbook.Logger("laburnumhatch.links")
+
+Connect = Callable[[PeerAddress, PeerStream], "Deferred[Any]"]
+
+
+class PeerLinks:
+    """Streams to the other entry instances, at most one to each.
+
+    Parameters
+    ----------
+    reactor
+        A Twisted reactor that listens and connects.
+    clock : Clock
+    codec : Codec
+        With `LINK_MESSAGES` and all messages that are sent.
+    own : str
+        Name of this instance.
+    shared_key : str
+        Secret of all instances.
+    times : StreamTimes, optional
+    jitter : callable, optional
+        Source of random numbers in [0, 1).
+    connect : callable, optional
+        Connects a protocol to an address and returns a Deferred; by TCP on `reactor` by default.
+
+    Notes
+    -----
+    Each instance dials the peers that `set_peers` names; any instance that proves the key is
+    accepted, so that one that is missing from this instance's list is heard all the same. Of
+    two streams between the same two instances the one dialled by the first in order of name is
+    kept, and of two by the same dialer the later, so that both ends keep the same one.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: Clock,
+        codec: Codec,
+        own: str,
+        shared_key: str,
+        times: StreamTimes | None = None,
+        jitter: Callable[[], float] = random.random,
+        connect: Connect | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._codec = codec
+        self._own = own
+        self._shared_key = shared_key.encode()
+        self._times = times or StreamTimes()
+        self._jitter = jitter
+        self._connect = connect or self._connect_by_tcp
+        self._handlers: dict[type, list[MessageHandler]] = {}
+        self._connect_handlers: list[Callable[[str], None]] = []
+        self._dialers: dict[str, Dialer] = {}
+        self._streams: dict[str, PeerStream] = {}
+        self._pending: list[PeerStream] = []
+        self._port: Any = None
+        self._stopped = False
+
+    def listen(self, host: str, port: int) -> int:
+        """Accept streams at an address; return the port, chosen by the system for 0."""
+        factory = Factory.forProtocol(self.accept)
+        factory.noisy = False
+        self._port = self._reactor.listenTCP(port, factory, interface=host)
+        found: int = self._port.getHost().port
+        return found
+
+    def stop(self) -> None:
+        """Stop listening, dialling, and close all streams."""
+        self._stopped = True
+        for dialer in self._dialers.values():
+            dialer.stop()
+        for stream in (*self._streams.values(), *self._pending):
+            stream.abort("this instance stops")
+        if self._port is not None:
+            self._port.stopListening()
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Dial these instances from now on, and no others; open streams stay."""
+        if self._stopped:
+            return
+        wanted = {peer.name: peer for peer in peers if peer.name != self._own}
+        for name, dialer in list(self._dialers.items()):
+            if wanted.get(name) != dialer.address:
+                self._dialers.pop(name).stop()
+        for name, address in wanted.items():
+            if name not in self._dialers:
+                self._dialers[name] = self._new_dialer(address)
+                if name not in self._streams:
+                    self._dialers[name].start()
+
+    def send(self, instance: str, message: object) -> bool:
+        """Send a message; False where there is no open stream to `instance` or it is full."""
+        stream = self._streams.get(instance)
+        return stream is not None and stream.send(message)
+
+    def handle(self, message_type: type, handler: MessageHandler) -> None:
+        """Call ``handler(instance, message)`` for each message of a type.
+
+        Raises
+        ------
+        TypeError
+            If the codec doesn't know the type.
+        """
+        if not self._codec.knows(message_type):
+            raise TypeError(f"{message_type.__name__} is not registered with the codec")
+        self._handlers.setdefault(message_type, []).append(handler)
+
+    def on_connected(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler(instance)`` whenever a stream to an instance opens."""
+        self._connect_handlers.append(handler)
+
+    def connected(self) -> tuple[str, ...]:
+        """Return the names of the instances with an open stream, in order."""
+        return tuple(sorted(self._streams))
+
+    def accept(self) -> PeerStream:
+        """Return the protocol of an incoming connection."""
+        if len(self._pending) >= MAX_PENDING:
+            # A handshake takes a few round trips, so the oldest is the least likely to end well.
+            self._pending.pop(0).abort("too many handshakes at a time")
+        stream = self._new_stream(None)
+        self._pending.append(stream)
+        return stream
+
+    def _new_dialer(self, address: PeerAddress) -> Dialer:
+        return Dialer(
+            clock=self._clock,
+            address=address,
+            goes_first=self._own < address.name,
+            dial=self._dial,
+            jitter=self._jitter,
+        )
+
+    def _new_stream(self, peer: str | None) -> PeerStream:
+        return PeerStream(
+            clock=self._clock,
+            codec=self._codec,
+            own=self._own,
+            peer=peer,
+            shared_key=self._shared_key,
+            on_open=self._opened,
+            on_message=self._received,
+            on_close=lambda stream: self._closed(stream, peer),
+            times=self._times,
+        )
+
+    def _dial(self, address: PeerAddress) -> None:
+        if address.name in self._streams:
+            return
+        stream = self._new_stream(address.name)
+        attempt = self._connect(address, stream)
+        attempt.addErrback(lambda failure: self._attempt_failed(address.name))
+
+    def _connect_by_tcp(self, address: PeerAddress, stream: PeerStream) -> "Deferred[Any]":
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, address.host, address.port, CONNECT_TIMEOUT.total_seconds()
+        )
+        return connectProtocol(endpoint, stream)
+
+    def _attempt_failed(self, name: str) -> None:
+        dialer = self._dialers.get(name)
+        if dialer is not None and name not in self._streams and not self._stopped:
+            dialer.attempt_failed()
+
+    def _opened(self, stream: PeerStream) -> None:
+        self._forget_pending(stream)
+        if self._stopped:
+            stream.abort("this instance stops")
+            return
+        name = stream.established.peer
+        present = self._streams.get(name)
+        if present is not None and not self._replaces(stream, present):
+            stream.abort("another stream to the instance stays")
+            return
+        self._streams[name] = stream
+        if present is not None:
+            present.abort("another stream to the instance replaces this one")
+        if name in self._dialers:
+            self._dialers[name].stream_opened()
+        _log.info("stream to {} is open, dialled by {}", name, stream.established.dialer)
+        for handler in self._connect_handlers:
+            self._run(handler, name)
+
+    def _replaces(self, stream: PeerStream, present: PeerStream) -> bool:
+        first = min(self._own, stream.established.peer)
+        return stream.established.dialer == first or present.established.dialer != first
+
+    def _received(self, stream: PeerStream, message: Any) -> None:
+        for handler in self._handlers.get(type(message), ()):
+            self._run(handler, stream.established.peer, message)
+
+    def _run(self, handler: Callable[..., None], *args: Any) -> None:
+        try:
+            handler(*args)
+        except Exception:
+            # A handler's fault must not cost the stream that brought the message.
+            _log.exception("the handler of a message failed")
+
+    def _closed(self, stream: PeerStream, dialled: str | None) -> None:
+        self._forget_pending(stream)
+        name = next((n for n, s in self._streams.items() if s is stream), None)
+        if name is not None:
+            del self._streams[name]
+            _log.info("stream to {} is closed: {}", name, stream.close_reason or "by the peer")
+        elif dialled is not None and stream.close_reason:
+            _log.warning("stream to {} did not open: {}", dialled, stream.close_reason)
+        if name or dialled:
+            self._attempt_failed(name or dialled or "")
+
+    def _forget_pending(self, stream: PeerStream) -> None:
+        if stream in self._pending:
+            self._pending.remove(stream)
