Add stand-ins for the platform and for upstream servers

The path needs both before anything can be tried end to end. The platform stand-in keeps table, objects and list in one process, so a call takes effect in one step; a delayed write takes effect even when its caller has left, as a real store's would.

A request with a newer token does not raise the epoch that a server knows: with grants for single keys it would fence the slot around the key.

--- /dev/null
+++ b/laburnumhatch/standins/grants.py
@@ -0,0 +1,146 @@
+"""Fenced grants that an upstream stand-in holds."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from pydantic import Field
+
+from ..clocks import Clock, milliseconds
+from ..settings import CheckedModel
+
+__all__ = ["GrantBook", "GrantMessage", "KeyGrant", "SlotGrant"]
+
+MAX_SLOT = 2**20
+KEY_HASH = r"^[0-9a-f]{16}$"
+
+
+class SlotRange(CheckedModel):
+    """Slots from `first` to `last`, both included, under an epoch."""
+
+    first: int = Field(ge=0, lt=MAX_SLOT)
+    last: int = Field(ge=0, lt=MAX_SLOT)
+    epoch: int = Field(ge=0)
+
+
+class SlotGrant(SlotRange):
+    """Grant of a range of slots, for a time or until it is revoked."""
+
+    valid_ms: int | None = Field(default=None, ge=0)
+
+
+class KeyRevocation(CheckedModel):
+    """A single key, by its hash, under an epoch."""
+
+    hash: str = Field(pattern=KEY_HASH)
+    epoch: int = Field(ge=0)
+
+
+class KeyGrant(KeyRevocation):
+    """Grant of a single key, for a time or until it is revoked."""
+
+    valid_ms: int | None = Field(default=None, ge=0)
+
+
+class GrantMessage(CheckedModel):
+    """Body of ``POST /grants``."""
+
+    service: str
+    grants: tuple[SlotGrant, ...] = ()
+    keys: tuple[KeyGrant, ...] = ()
+    revoked: tuple[SlotRange, ...] = ()
+    revoked_keys: tuple[KeyRevocation, ...] = ()
+
+
+@dataclass(slots=True)
+class _Held:
+    epoch: int
+    expires: timedelta | None
+
+
+Place = int | str
+
+
+@dataclass
+class GrantBook:
+    """Highest epochs seen and grants held, by slot and by key hash.
+
+    Parameters
+    ----------
+    clock : Clock
+    honours_expiry : bool
+        Whether a grant ends after its ``valid_ms``; otherwise only tokens are compared.
+
+    Notes
+    -----
+    A key's own entry goes before that of its slot. A revocation under epoch `e` refuses every
+    epoch up to `e`, so that a repeated or late grant can't bring the revoked one back. Only
+    grants and revocations teach the book an epoch: a request for a single key whose grant has not
+    come yet must not fence the slot that the key lies in.
+    """
+
+    clock: Clock
+    honours_expiry: bool = True
+    lowest_accepted: dict[Place, int] = field(default_factory=dict)
+    _held: dict[Place, _Held] = field(default_factory=dict)
+
+    def apply(self, message: GrantMessage) -> int | None:
+        """Apply a message as a whole, or return the newer epoch that forbids it."""
+        self._revoke(message)
+        granted = _places(message)
+        newer = [self.lowest_accepted.get(place, 0) for place, epoch, _ in granted]
+        refused = [n for n, (_, epoch, _) in zip(newer, granted, strict=True) if n > epoch]
+        if refused:
+            return max(refused)
+        for place, epoch, valid_ms in granted:
+            self._grant(place, epoch, valid_ms)
+        return None
+
+    def refusal(self, slot: int, key_hash: str | None, epoch: int) -> int | None:
+        """Return None if a request may run, or else the lowest epoch that could.
+
+        Parameters
+        ----------
+        slot : int
+        key_hash : str or None
+            16 hexadecimal digits, or None where the key is not known.
+        epoch : int
+            The request's fencing token.
+        """
+        known_key = key_hash is not None and key_hash in self.lowest_accepted
+        place: Place = key_hash if known_key and key_hash is not None else slot
+        held = self._held.get(place)
+        if held is None or held.epoch != epoch or self._expired(held):
+            return self.lowest_accepted.get(place, 0)
+        return None
+
+    def _grant(self, place: Place, epoch: int, valid_ms: int | None) -> None:
+        expires = None
+        if valid_ms is not None and self.honours_expiry:
+            expires = self.clock.now() + milliseconds(valid_ms)
+        self.lowest_accepted[place] = epoch
+        self._held[place] = _Held(epoch, expires)
+
+    def _revoke(self, message: GrantMessage) -> None:
+        places: list[tuple[Place, int]] = [
+            (slot, r.epoch) for r in message.revoked for slot in range(r.first, r.last + 1)
+        ]
+        places += [(key.hash, key.epoch) for key in message.revoked_keys]
+        for place, epoch in places:
+            lowest = max(self.lowest_accepted.get(place, 0), epoch + 1)
+            self.lowest_accepted[place] = lowest
+            held = self._held.get(place)
+            if held is not None and held.epoch < lowest:
+                del self._held[place]
+
+    def _expired(self, held: _Held) -> bool:
+        return held.expires is not None and self.clock.now() >= held.expires
+
+
+def _places(message: GrantMessage) -> list[tuple[Place, int, int | None]]:
+    places: list[tuple[Place, int, int | None]] = [
+        (slot, grant.epoch, grant.valid_ms)
+        for grant in message.grants
+        for slot in range(grant.first, grant.last + 1)
+    ]
+    places += [(key.hash, key.epoch, key.valid_ms) for key in message.keys]
+    return places
--- /dev/null
+++ b/laburnumhatch/standins/platform.py
@@ -0,0 +1,269 @@
+"""Stand-in for the platform's table, object store and instance list."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from klein import Klein
+from pydantic import TypeAdapter, ValidationError
+from twisted.internet.defer import Deferred
+from twisted.web.http import Request
+
+from ..clocks import Clock, milliseconds
+from ..platform import ListedInstance, Row
+from .http import BadBody, answer_json, cut_connection, header, read_model, sleep
+from .platform_faults import PlatformFaults, StoreFaults
+
+__all__ = ["PlatformStandin", "build_platform_app"]
+
+MAX_ROWS = 10_000
+MAX_OBJECTS = 10_000
+MAX_VALUE_BYTES = 8 * 2**20
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+PRECONDITION_FAILED = 412
+TOO_LARGE = 413
+UNAVAILABLE = 503
+FULL = 507
+
+_LIST = TypeAdapter(tuple[ListedInstance, ...])
+
+
+@dataclass
+class PlatformStandin:
+    """State of the platform stand-in.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+    objects : dict of str to bytes
+    instances : tuple of ListedInstance
+    faults : PlatformFaults
+    counters : Counter
+        Calls by ``table_reads``, ``table_writes``, ``object_reads``, ``object_writes`` and
+        ``list_reads``, and refused writes by ``table_conflicts``.
+    """
+
+    clock: Clock
+    rows: dict[str, Row] = field(default_factory=dict)
+    objects: dict[str, bytes] = field(default_factory=dict)
+    instances: tuple[ListedInstance, ...] = ()
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    counters: Counter[str] = field(default_factory=Counter)
+
+    def take_fault(self, service: str, name: str) -> bool:
+        """Return whether a counted fault is due, and count it down."""
+        faults: StoreFaults = getattr(self.faults, service)
+        left: int = getattr(faults, name)
+        if left == 0:
+            return False
+        changed = faults.model_copy(update={name: left - 1})
+        self.faults = self.faults.model_copy(update={service: changed})
+        return True
+
+
+def build_platform_app(platform: PlatformStandin) -> Klein:
+    """Return the app that serves `platform`.
+
+    Notes
+    -----
+    All state is held by one thread of one process, and a call takes effect in one step, so the
+    table is linearizable.
+    """
+    app: Any = Klein()
+    _add_table(app, platform)
+    _add_objects(app, platform)
+    _add_instances(app, platform)
+    _add_control(app, platform)
+    return app
+
+
+def _add_table(app: Any, platform: PlatformStandin) -> None:
+    @app.route("/table/<path:key>", methods=["GET"])
+    async def read_row(request: Request, key: str) -> bytes:
+        platform.counters["table_reads"] += 1
+        if await _refused(request, platform, "table"):
+            return b"the table is down\n"
+        row = platform.rows.get(key)
+        if row is None:
+            request.setResponseCode(NOT_FOUND)
+            return b""
+        return _row_answer(request, OK, row)
+
+    @app.route("/table/<path:key>", methods=["PUT"])
+    async def write_row(request: Request, key: str) -> Any:
+        platform.counters["table_writes"] += 1
+        value = _body(request)
+        expected = _expected_version(request)
+        writer = header(request, "writer")
+
+        def effect() -> bytes:
+            return _write_row(request, platform, key, value, expected, writer)
+
+        return await _write(request, platform, "table", effect)
+
+
+def _write_row(
+    request: Request,
+    platform: PlatformStandin,
+    key: str,
+    value: bytes,
+    expected: int | None,
+    writer: str,
+) -> bytes:
+    if expected is None or not writer:
+        request.setResponseCode(BAD_REQUEST)
+        return b"expected the header Writer, and If-Match with a version or If-None-Match: *\n"
+    current = platform.rows.get(key)
+    found = current.version if current is not None else 0
+    if found != expected:
+        platform.counters["table_conflicts"] += 1
+        if current is None:
+            request.setResponseCode(PRECONDITION_FAILED)
+            return b""
+        return _row_answer(request, PRECONDITION_FAILED, current)
+    if current is None and len(platform.rows) >= MAX_ROWS:
+        request.setResponseCode(FULL)
+        return b"the table is full\n"
+    platform.rows[key] = Row(key, found + 1, writer, value)
+    request.setHeader("etag", f'"{found + 1}"')
+    return b""
+
+
+def _add_objects(app: Any, platform: PlatformStandin) -> None:
+    @app.route("/objects/<path:name>", methods=["GET"])
+    async def read_object(request: Request, name: str) -> bytes:
+        platform.counters["object_reads"] += 1
+        if await _refused(request, platform, "objects"):
+            return b"the object store is down\n"
+        content = platform.objects.get(name)
+        if content is None:
+            request.setResponseCode(NOT_FOUND)
+            return b""
+        request.setHeader("content-type", "application/octet-stream")
+        return content
+
+    @app.route("/objects/<path:name>", methods=["PUT"])
+    async def write_object(request: Request, name: str) -> Any:
+        platform.counters["object_writes"] += 1
+        content = _body(request)
+
+        def effect() -> bytes:
+            if name not in platform.objects and len(platform.objects) >= MAX_OBJECTS:
+                request.setResponseCode(FULL)
+                return b"the object store is full\n"
+            platform.objects[name] = content
+            return b""
+
+        return await _write(request, platform, "objects", effect)
+
+
+def _add_instances(app: Any, platform: PlatformStandin) -> None:
+    @app.route("/instances", methods=["GET"])
+    async def read_list(request: Request) -> bytes:
+        platform.counters["list_reads"] += 1
+        if await _refused(request, platform, "instances"):
+            return b"the instance list is down\n"
+        request.setHeader("content-type", "application/json")
+        return _LIST.dump_json(platform.instances)
+
+    @app.route("/instances", methods=["PUT"])
+    def replace_list(request: Request) -> bytes:
+        try:
+            instances = _LIST.validate_json(_body(request))
+        except ValidationError as e:
+            request.setResponseCode(BAD_REQUEST)
+            return f"not a list of instances: {e}\n".encode()
+        lag = milliseconds(platform.faults.instances.lag_ms)
+        if lag:
+            platform.clock.call_later(lag, setattr, platform, "instances", instances)
+        else:
+            platform.instances = instances
+        return b""
+
+
+def _add_control(app: Any, platform: PlatformStandin) -> None:
+    @app.route("/faults", methods=["GET"])
+    def read_faults(request: Request) -> bytes:
+        return answer_json(request, OK, platform.faults.model_dump())
+
+    @app.route("/faults", methods=["PUT"])
+    def replace_faults(request: Request) -> bytes:
+        try:
+            platform.faults = read_model(request, PlatformFaults)
+        except BadBody as e:
+            return answer_json(request, BAD_REQUEST, {"error": str(e)})
+        return answer_json(request, OK, platform.faults.model_dump())
+
+    @app.route("/counters", methods=["GET"])
+    def read_counters(request: Request) -> bytes:
+        return answer_json(request, OK, dict(platform.counters))
+
+
+async def _refused(request: Request, platform: PlatformStandin, service: str) -> bool:
+    faults = getattr(platform.faults, service)
+    if faults.slow_ms:
+        await sleep(platform.clock, faults.slow_ms)
+    if getattr(platform.faults, service).down:
+        request.setResponseCode(UNAVAILABLE)
+        return True
+    return False
+
+
+def _write(
+    request: Request, platform: PlatformStandin, service: str, effect: Callable[[], bytes]
+) -> Deferred[Any]:
+    """Run a write and return its answer; a caller that leaves does not undo it."""
+    answered: Deferred[Any] = Deferred(lambda _: None)
+
+    def run() -> None:
+        answer = _run_write(request, platform, service, effect)
+        if not answered.called:
+            answered.callback(answer)
+
+    slow_ms = getattr(platform.faults, service).slow_ms
+    if slow_ms:
+        platform.clock.call_later(milliseconds(slow_ms), run)
+    else:
+        run()
+    return answered
+
+
+def _run_write(
+    request: Request, platform: PlatformStandin, service: str, effect: Callable[[], bytes]
+) -> bytes:
+    if getattr(platform.faults, service).down:
+        request.setResponseCode(UNAVAILABLE)
+        return f"the {service} service is down\n".encode()
+    if platform.take_fault(service, "lost_writes"):
+        cut_connection(request)
+        return b""
+    if int(header(request, "content-length") or 0) > MAX_VALUE_BYTES:
+        request.setResponseCode(TOO_LARGE)
+        return b"the value is too large\n"
+    answer = effect()
+    if platform.take_fault(service, "lost_replies"):
+        cut_connection(request)
+    return answer
+
+
+def _body(request: Request) -> bytes:
+    assert request.content is not None
+    return request.content.read(MAX_VALUE_BYTES)
+
+
+def _expected_version(request: Request) -> int | None:
+    if header(request, "if-none-match") == "*":
+        return 0
+    version = header(request, "if-match").strip('"')
+    return int(version) if version.isdigit() else None
+
+
+def _row_answer(request: Request, status: int, row: Row) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("etag", f'"{row.version}"')
+    request.setHeader("writer", row.writer)
+    request.setHeader("content-type", "application/octet-stream")
+    return row.value
