--- /dev/null
+++ b/laburnumhatch/ownership/messages.py
@@ -0,0 +1,5 @@
+"""Messages between entry instances about ownership."""
+
+__all__ = ["OWNERSHIP_MESSAGES"]
+
+OWNERSHIP_MESSAGES: tuple[type, ...] = ()
