--- a/laburnumhatch/ownership/grants.py
+++ b/laburnumhatch/ownership/grants.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
 
 from ..clocks import Clock, milliseconds, to_milliseconds
 from ..routing import Target
@@ -122,7 +123,7 @@
         response = await treq.post(
             f"http://{target.host}:{target.port}/grants",
             data=json.dumps(document).encode(),
-            headers={"content-type": ["application/json"]},
+            headers=Headers({"content-type": ["application/json"]}),
             agent=self._agent,
         )
         await response.content()
