Compose the entry daemon

Cause: the parts had no process that runs them. Ruled out: Twisted's own signal handlers, which stop the reactor in the middle of requests; closing the callers' port at once, which resets connections that the balancer still sends. Conclusion: the whole path can run once stand-ins and commands are there.

--- /dev/null
+++ b/laburnumhatch/entry/daemon.py
@@ -0,0 +1,83 @@
+"""The entry daemon's process."""
+
+import json
+import signal
+import sys
+from typing import Any
+
+from opentelemetry import trace
+
+from ..clocks import Clock, ReactorClock, boot_seconds
+from ..settings import InstanceSettings
+from ..telemetry import JsonLineExporter, build_tracer_provider, start_logging
+from .instance import EntryInstance
+
+__all__ = ["run"]
+
+
+def run(settings: InstanceSettings) -> int:
+    """Run an entry instance until it is told to stop.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+
+    Returns
+    -------
+    int
+        Exit code: 0 when no request was cut off, 1 otherwise.
+
+    Notes
+    -----
+    Writes one line to standard output once the ports are open. SIGTERM and SIGINT begin the
+    graceful shutdown; further signals change nothing.
+    """
+    reactor = _installed_reactor()
+    start_logging(settings.name)
+    clock = ReactorClock(reactor, boot_seconds)
+    _start_tracing(settings, clock)
+    exit_codes: list[int] = []
+
+    def exit_process(code: int) -> None:
+        exit_codes.append(code)
+        reactor.callLater(0, reactor.stop)
+
+    instance = EntryInstance(reactor, clock, settings, exit_process)
+    _stop_on_signals(reactor, instance)
+    reactor.callWhenRunning(_start, instance, settings.name)
+    reactor.run(installSignalHandlers=False)
+    return exit_codes[0] if exit_codes else 1
+
+
+def _start(instance: EntryInstance, name: str) -> None:
+    instance.start()
+    print(json.dumps({"listening": {"name": name, **instance.ports}}), flush=True)
+
+
+def _stop_on_signals(reactor: Any, instance: EntryInstance) -> None:
+    def stop(*_: Any) -> None:
+        reactor.callFromThread(instance.stop)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+
+
+def _start_tracing(settings: InstanceSettings, clock: Clock) -> None:
+    exporter = None
+    if settings.trace_file is not None:
+        stream = (
+            sys.stdout
+            if settings.trace_file == "-"
+            else open(settings.trace_file, "a", encoding="utf-8")  # noqa: SIM115
+        )
+        exporter = JsonLineExporter(stream, clock)
+    provider = build_tracer_provider(
+        settings.name, settings.data_centre, settings.trace_share, exporter
+    )
+    trace.set_tracer_provider(provider)
+
+
+def _installed_reactor() -> Any:
+    from twisted.internet import reactor
+
+    return reactor
--- /dev/null
+++ b/laburnumhatch/entry/instance.py
@@ -0,0 +1,229 @@
+"""An entry instance: its parts, and what ties them together."""
+
+import random
+from typing import Any
+
+import logbook
+from aioprometheus import Registry
+from twisted.internet.defer import Deferred
+
+from ..balancing import TwoChoices
+from ..clocks import Clock
+from ..configuration import ConfigurationFollower
+from ..links import Links, MessageHandler
+from ..membership import Instance, InstanceDirectory, TargetHealth
+from ..ownership import OwnershipKeeper
+from ..planning import plan_moves
+from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
+from ..requests import RequestPath
+from ..routing import Snapshot, build_matcher
+from ..routing.match import Matcher
+from ..settings import InstanceSettings, ListenAddress
+from .admin import AdminPages, build_admin_site
+from .lifecycle import LifecycleActions, build_lifecycle
+
+__all__ = ["EntryInstance"]
+
+_log = logbook.Logger("laburnumhatch.entry")
+
+
+class _NoLinks:
+    """Links of an instance without peers."""
+
+    def send(self, instance: str, message: object) -> bool:
+        return False
+
+    def handle(self, message_type: type, handler: MessageHandler) -> None:
+        pass
+
+    def connected(self) -> tuple[str, ...]:
+        return ()
+
+
+class EntryInstance:
+    """The parts of one entry instance.
+
+    Parameters
+    ----------
+    reactor
+        A Twisted reactor.
+    clock : Clock
+    settings : InstanceSettings
+    exit : callable
+        Ends the process; takes the exit code.
+    """
+
+    def __init__(self, reactor: Any, clock: Clock, settings: InstanceSettings, exit: Any) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._settings = settings
+        self._matcher: Matcher | None = None
+        self._registry = Registry()
+        self._ports: dict[str, Any] = {}
+        self._lifecycle = build_lifecycle(
+            LifecycleActions(self._become_unready, self._close_port, self._hand_over, exit)
+        )
+        self._build_platform()
+        self._build_membership()
+        self._build_request_path()
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """The ports that are open, by name."""
+        return {name: port.getHost().port for name, port in self._ports.items()}
+
+    def start(self) -> None:
+        """Open the ports and begin to follow the platform and the peers."""
+        self._listen("callers", self._settings.callers, self._path.factory())
+        self._listen("admin", self._settings.admin, self._admin_site())
+        self._instances.start()
+        self._targets.start()
+        self._ownership.start()
+        self._configuration.start()
+        self._lifecycle.started()
+
+    def stop(self) -> None:
+        """Begin the graceful shutdown; repeats change nothing."""
+        self._lifecycle.stop_requested()
+
+    def unready_reasons(self) -> list[str]:
+        """Return why callers should not be sent here; empty when they should."""
+        reasons = []
+        state = self._lifecycle.state_name()
+        if state != "serving":
+            reasons.append(f"the instance is {state}")
+        if self._configuration.snapshot is None:
+            reasons.append(f"no configuration: {self._configuration.problem}")
+        return reasons
+
+    def status(self) -> dict[str, Any]:
+        """Return the state of the instance, for the operators."""
+        snapshot = self._configuration.snapshot
+        return {
+            "instance": self._settings.name,
+            "data_centre": self._settings.data_centre,
+            "state": self._lifecycle.state_name(),
+            "ready": not self.unready_reasons(),
+            "reasons": self.unready_reasons(),
+            "configuration": {
+                "version": snapshot.version if snapshot else 0,
+                "digest": snapshot.digest if snapshot else "",
+                "problem": self._configuration.problem,
+            },
+            "instances": [instance.name for instance in self._instances.live()],
+            "links": list(self._links.connected()),
+            "ownership": self._ownership.status(),
+            "in_flight": self._path.in_flight,
+        }
+
+    def explain(self, service: str, key: str) -> dict[str, Any] | None:
+        """Return what is known of a key; None for an unknown service."""
+        snapshot = self._configuration.snapshot
+        if snapshot is None or snapshot.service(service) is None:
+            return None
+        return {
+            "instance": self._settings.name,
+            "configuration_version": snapshot.version,
+            **self._ownership.describe(service, key),
+        }
+
+    def _build_platform(self) -> None:
+        client = HttpClient(self._reactor, self._clock)
+        addresses = self._settings.platform
+        self._table = HttpTable(client, addresses.table)
+        self._object_store = HttpObjectStore(client, addresses.object_store)
+        self._instance_list = HttpInstanceList(client, addresses.instance_list)
+
+    def _build_membership(self) -> None:
+        settings = self._settings
+        own = Instance(
+            settings.name,
+            settings.advertise_host,
+            settings.peers.port,
+            settings.admin.port,
+            settings.data_centre,
+        )
+        self._links: Links = _NoLinks()
+        self._instances = InstanceDirectory(
+            clock=self._clock, instance_list=self._instance_list, own=own
+        )
+        self._targets = TargetHealth()
+        self._configuration = ConfigurationFollower(
+            clock=self._clock,
+            table=self._table,
+            object_store=self._object_store,
+            on_change=self._use_snapshot,
+        )
+
+    def _build_request_path(self) -> None:
+        settings = self._settings
+        self._ownership = OwnershipKeeper(
+            self._reactor,
+            self._clock,
+            settings.name,
+            settings.data_centre,
+            self._table,
+            self._links,
+            self._instances,
+            self._targets,
+            plan_moves,
+        )
+        chooser = TwoChoices(
+            targets=self._targets,
+            data_centre=settings.data_centre,
+            live_instances=self._live_count,
+            random_source=random.Random(),
+        )
+        self._path = RequestPath(
+            self._reactor,
+            self._clock,
+            settings.name,
+            lambda: self._matcher,
+            self._ownership,
+            self._targets,
+            chooser,
+            self._table,
+            entry_count=self._live_count,
+        )
+
+    def _live_count(self) -> int:
+        return len(self._instances.live())
+
+    def _admin_site(self) -> Any:
+        pages = AdminPages(
+            unready_reasons=self.unready_reasons,
+            status=self.status,
+            explain=self.explain,
+            registry=self._registry,
+        )
+        return build_admin_site(pages)
+
+    def _listen(self, name: str, address: ListenAddress, factory: Any) -> None:
+        self._ports[name] = self._reactor.listenTCP(
+            address.port, factory, interface=address.host, backlog=512
+        )
+
+    def _use_snapshot(self, snapshot: Snapshot) -> None:
+        self._targets.follow(snapshot)
+        self._ownership.use_snapshot(snapshot)
+        self._matcher = build_matcher(snapshot)
+
+    def _become_unready(self) -> None:
+        _log.info("stopping: not ready from now on")
+        settings = self._settings
+        self._clock.call_later(settings.unready_before_close, self._lifecycle.notice_over)
+        self._clock.call_later(settings.stop_within, self._lifecycle.time_is_up)
+
+    def _close_port(self) -> None:
+        _log.info("stopping: {} requests are in flight", self._path.in_flight)
+        self._ports.pop("callers").stopListening()
+        self._path.stop_accepting()
+        self._path.drained().addCallback(lambda _: self._lifecycle.drained())
+
+    def _hand_over(self) -> None:
+        self._configuration.stop()
+        self._targets.stop()
+        self._instances.stop()
+        stopped = Deferred.fromCoroutine(self._ownership.stop())
+        stopped.addErrback(lambda f: _log.error("hand-over failed: {}", f.getTraceback()))
+        stopped.addBoth(lambda _: self._lifecycle.handed_over())
--- a/laburnumhatch/settings/instance.py
+++ b/laburnumhatch/settings/instance.py
@@ -43,6 +43,9 @@
         Secret that entry instances share, at least 16 characters.
     advertise_host : str
         IP number by which other instances reach this one.
+    unready_before_close : timedelta
+        Time between becoming not ready and closing the callers' port at a graceful shutdown,
+        in which the balancer learns of it.
     stop_within : timedelta
         Longest time a graceful shutdown may take.
     trace_file : str or None
@@ -59,6 +62,7 @@
     platform: PlatformAddresses
     peer_key: str = Field(min_length=16)
     advertise_host: str = Field(default="127.0.0.1", pattern=IP_NUMBER)
+    unready_before_close: timedelta = timedelta(seconds=2)
     stop_within: timedelta = timedelta(seconds=30)
     trace_file: str | None = None
     trace_share: float = Field(default=0.01, ge=0.0, le=1.0)
