--- /dev/null
+++ b/laburnumhatch/faults/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
