Let planning be imported before ownership

Cause: planning took the slot arithmetic from ownership, and ownership takes the planner's interface; importing planning first failed. Before: 'import laburnumhatch.planning' in a fresh interpreter raised ImportError; the new test does so. After: it passes.

--- a/laburnumhatch/planning/interfaces.py
+++ b/laburnumhatch/planning/interfaces.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from ..ownership.slots import slot_of_hash
 from ..routing import Objective
+from ..routing.slots import slot_of_hash
 
 __all__ = ["Move", "PlanningView", "ServerCondition"]
 
--- /dev/null
+++ b/laburnumhatch/planning/tests/test_interfaces.py
@@ -0,0 +1,10 @@
+import subprocess
+import sys
+
+import pytest
+
+
+@pytest.mark.parametrize("package", ["planning", "ownership", "balancing"])
+def test_package_can_be_imported_first(package):
+    done = subprocess.run([sys.executable, "-c", f"import laburnumhatch.{package}"])
+    assert done.returncode == 0
