Add the commands, both example deployments and a test of the whole path

The commands check, publish, rollback, status, explain and entry are thin layers over the packages; each outcome of a publication has its own exit code. examples/ holds routing files and settings in the sizes of both deployments.

The test starts real processes on free ports, publishes with the real command and checks each answer against its own request: path, query, server, owner, key and digests. Bodies of requests are empty until the request path forwards them.

--- /dev/null
+++ b/laburnumhatch/commands/admin_client.py
@@ -0,0 +1,68 @@
+"""Questions to the admin ports of entry instances."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+from ..platform import HttpClient
+from ..platform.http import HttpAnswer
+
+__all__ = ["AdminAddress", "AdminAnswer", "Unanswered", "ask_admin"]
+
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class AdminAddress:
+    """IP number and admin port of an instance."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class AdminAnswer:
+    """What an instance answered."""
+
+    address: AdminAddress
+    document: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """Why there is no usable answer."""
+
+    address: AdminAddress
+    reason: str
+
+
+async def ask_admin(
+    client: HttpClient, address: AdminAddress, page: str, arguments: dict[str, str]
+) -> AdminAnswer | Unanswered:
+    """Return an admin page of an instance.
+
+    Parameters
+    ----------
+    client : HttpClient
+    address : AdminAddress
+    page : str
+        Path without the leading slash.
+    arguments : dict of str to str
+        Query arguments.
+    """
+    query = f"?{urlencode(arguments)}" if arguments else ""
+    answer = await client.call("GET", f"http://{address}/{page}{query}", {})
+    if not isinstance(answer, HttpAnswer):
+        return Unanswered(address, answer.reason)
+    try:
+        document = json.loads(answer.body)
+    except ValueError:
+        return Unanswered(address, f"status {answer.status}, and no JSON")
+    if answer.status != OK or not isinstance(document, dict):
+        error = document.get("error", "") if isinstance(document, dict) else ""
+        return Unanswered(address, f"status {answer.status} {error}".rstrip())
+    return AdminAnswer(address, document)
--- /dev/null
+++ b/laburnumhatch/commands/admin_option.py
@@ -0,0 +1,85 @@
+"""Which instances a command asks: those named, or all in the platform's list."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ..clocks import ReactorClock, boot_seconds
+from ..platform import HttpClient, Unavailable
+from ..settings import InstanceSettings
+from .admin_client import AdminAddress, AdminAnswer, Unanswered, ask_admin
+from .arguments import PlatformClients, fail, read_settings, settings_option
+from .coroutines import run_on_reactor
+from .exit_codes import ExitCode
+
+__all__ = ["address_options", "ask_instances"]
+
+Command = Callable[..., Any]
+Answers = list[AdminAnswer | Unanswered]
+
+
+class _AddressType(click.ParamType[AdminAddress]):
+    name = "HOST:PORT"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> AdminAddress:
+        """Return the address in a text."""
+        if isinstance(value, AdminAddress):
+            return value
+        host, _, port = str(value).rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            self.fail(f"{value!r}: expected an IP number, a colon and a port", param, ctx)
+        return AdminAddress(host, int(port))
+
+
+def address_options(command: Command) -> Command:
+    """Add ``--admin HOST:PORT`` and ``--settings FILE``."""
+    admin = click.option(
+        "--admin",
+        "admin_addresses",
+        multiple=True,
+        type=_AddressType(),
+        help="Admin port of an instance; may be repeated.",
+    )
+    return admin(settings_option(required=False)(command))
+
+
+def ask_instances(
+    addresses: tuple[AdminAddress, ...],
+    settings_path: Path | None,
+    page: str,
+    arguments: dict[str, str],
+) -> Answers:
+    """Return the answers of the named instances, or of all in the platform's list.
+
+    Notes
+    -----
+    One question after another, so that a large fleet isn't asked all at once.
+    """
+    if not addresses and settings_path is None:
+        raise click.UsageError("expected --admin HOST:PORT or --settings FILE")
+
+    settings = read_settings(settings_path) if settings_path is not None else None
+
+    async def ask(reactor: Any) -> Answers | Unavailable:
+        found = addresses or await _listed(reactor, settings)
+        if isinstance(found, Unavailable):
+            return found
+        client = HttpClient(reactor, ReactorClock(reactor, boot_seconds))
+        return [await ask_admin(client, address, page, arguments) for address in found]
+
+    answers = run_on_reactor(ask)
+    if isinstance(answers, Unavailable):
+        fail(ExitCode.PLATFORM_UNAVAILABLE, f"the list of instances: {answers.reason}")
+    return answers
+
+
+async def _listed(
+    reactor: Any, settings: InstanceSettings | None
+) -> tuple[AdminAddress, ...] | Unavailable:
+    assert settings is not None
+    listed = await PlatformClients(reactor, settings.platform).instance_list.fetch()
+    if isinstance(listed, Unavailable):
+        return listed
+    return tuple(AdminAddress(instance.host, instance.admin_port) for instance in listed)
--- /dev/null
+++ b/laburnumhatch/commands/arguments.py
@@ -0,0 +1,85 @@
+"""Arguments that several commands share."""
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+
+from ..clocks import Clock, ReactorClock, boot_seconds
+from ..configuration import CollectedFile, CollectionError, collect
+from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
+from ..settings import DocumentError, InstanceSettings, PlatformAddresses, read_document
+from .exit_codes import ExitCode
+
+__all__ = [
+    "PlatformClients",
+    "directories_argument",
+    "fail",
+    "json_option",
+    "read_routing_files",
+    "read_settings",
+    "settings_option",
+]
+
+Command = Callable[..., Any]
+
+
+class PlatformClients:
+    """Clients of the platform's services for the life of one command."""
+
+    def __init__(self, reactor: Any, addresses: PlatformAddresses) -> None:
+        self.clock: Clock = ReactorClock(reactor, boot_seconds)
+        self.http = HttpClient(reactor, self.clock)
+        self.table = HttpTable(self.http, addresses.table)
+        self.object_store = HttpObjectStore(self.http, addresses.object_store)
+        self.instance_list = HttpInstanceList(self.http, addresses.instance_list)
+
+
+def settings_option(required: bool) -> Callable[[Command], Command]:
+    """Return the option ``--settings``, which names an instance's settings file."""
+    return click.option(
+        "--settings",
+        "settings_path",
+        required=required,
+        type=click.Path(path_type=Path),
+        envvar="LABURNUMHATCH_SETTINGS",
+        show_envvar=True,
+        help="Settings of any entry instance; they name the platform's addresses.",
+    )
+
+
+def directories_argument(command: Command) -> Command:
+    """Add the argument ``DIR...``, where routing files are searched."""
+    kind = click.Path(exists=True, path_type=Path)
+    return click.argument("directories", metavar="DIR...", nargs=-1, required=True, type=kind)(
+        command
+    )
+
+
+def json_option(command: Command) -> Command:
+    """Add the option ``--json``."""
+    return click.option("--json", "as_json", is_flag=True, help="Print JSON for tools.")(command)
+
+
+def read_settings(path: Path) -> InstanceSettings:
+    """Return an instance's settings, or end the command with a message."""
+    try:
+        return read_document(path, InstanceSettings)
+    except DocumentError as e:
+        fail(ExitCode.BAD_INPUT, str(e))
+
+
+def read_routing_files(directories: tuple[Path, ...]) -> tuple[CollectedFile, ...]:
+    """Return the routing files under `directories`, or end the command with all problems."""
+    try:
+        return collect(directories)
+    except CollectionError as e:
+        fail(ExitCode.BAD_INPUT, str(e))
+
+
+def fail(code: ExitCode, message: str) -> NoReturn:
+    """End the command with a message on standard error."""
+    click.echo(message, err=True)
+    sys.exit(code)
--- /dev/null
+++ b/laburnumhatch/commands/check.py
@@ -0,0 +1,31 @@
+"""The command ``check``."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import click
+
+from ..configuration import CollectedFile
+from ..routing import Service
+from .arguments import directories_argument, read_routing_files
+
+__all__ = ["check", "render_collected"]
+
+
+@click.command()
+@directories_argument
+def check(directories: tuple[Path, ...]) -> None:
+    """Check the routing files under DIR... together, without publishing them."""
+    click.echo(render_collected(read_routing_files(directories)))
+
+
+def render_collected(collected: Iterable[CollectedFile]) -> str:
+    """Return one line for each service."""
+    lines = [_line(found.service) for found in collected]
+    return "\n".join([*lines, f"{len(lines)} services, no problems"])
+
+
+def _line(service: Service) -> str:
+    ownership = service.ownership
+    owned = f"{ownership.slot_count} owned slots" if ownership else "no owners"
+    return f"{service.name}: {len(service.targets)} targets, {len(service.kinds)} kinds, {owned}"
--- /dev/null
+++ b/laburnumhatch/commands/coroutines.py
@@ -0,0 +1,39 @@
+"""Running a coroutine on the reactor from a command."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+__all__ = ["run_on_reactor"]
+
+T = TypeVar("T")
+
+
+def run_on_reactor(main: Callable[[Any], Coroutine[Any, Any, T]]) -> T:
+    """Run ``main(reactor)`` until it ends and return its result; once in a process.
+
+    Raises
+    ------
+    Exception
+        What `main` raises.
+    """
+    reactor: Any = _reactor
+    results: list[Any] = []
+
+    def ended(result: T | Failure) -> None:
+        results.append(result)
+        reactor.stop()
+
+    def start() -> None:
+        Deferred.fromCoroutine(main(reactor)).addBoth(ended)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if not results:
+        raise KeyboardInterrupt
+    if isinstance(results[0], Failure):
+        results[0].raiseException()
+    return results[0]
--- /dev/null
+++ b/laburnumhatch/commands/exit_codes.py
@@ -0,0 +1,18 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+__all__ = ["ExitCode"]
+
+
+class ExitCode(IntEnum):
+    """What a command ended with, for scripts; the table is in docs/RESULT-CODES.md."""
+
+    DONE = 0
+    DIFFERENT = 1
+    BAD_INPUT = 2
+    CONFLICT = 3
+    NOT_EVERYWHERE = 4
+    PLATFORM_UNAVAILABLE = 5
+    OUTCOME_UNKNOWN = 6
+    INSTANCE_UNREACHABLE = 7
--- /dev/null
+++ b/laburnumhatch/commands/explain.py
@@ -0,0 +1,49 @@
+"""The command ``explain``."""
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .admin_client import AdminAddress
+from .admin_option import address_options, ask_instances
+from .arguments import json_option
+from .status import show_answers
+
+__all__ = ["explain", "render_explanation"]
+
+HEADLINE = ("instance", "configuration_version", "service", "key", "owner")
+
+
+@click.command()
+@click.argument("key")
+@click.option("--service", required=True, help="Service that the key belongs to.")
+@address_options
+@json_option
+def explain(
+    key: str,
+    service: str,
+    admin_addresses: tuple[AdminAddress, ...],
+    settings_path: Path | None,
+    as_json: bool,
+) -> None:
+    """Show who owns KEY, under which epoch and configuration, and why."""
+    arguments = {"service": service, "key": key}
+    answers = ask_instances(admin_addresses, settings_path, "explain", arguments)
+    show_answers(answers, as_json, render_explanation)
+
+
+def render_explanation(document: dict[str, Any]) -> str:
+    """Return the text for one instance's explanation of a key."""
+    owner = f"owned by {document['owner']}" if document["owner"] else "without an owner"
+    lines = [
+        f"{document['instance']}: {document['service']} key {document['key']!r} is {owner}",
+        f"  configuration version: {document['configuration_version']}",
+    ]
+    facts = [(name, value) for name, value in document.items() if name not in HEADLINE]
+    lines += [f"  {name.replace('_', ' ')}: {_text(value)}" for name, value in facts]
+    return "\n".join(lines)
+
+
+def _text(value: Any) -> str:
+    return "none" if value is None else str(value)
--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -2,7 +2,13 @@
 
 import click
 
+from .check import check
+from .entry import entry
+from .explain import explain
+from .publish import publish
+from .rollback import rollback
 from .standin import standin
+from .status import status
 
 __all__ = ["main"]
 
@@ -12,4 +18,5 @@
     """Route keyed requests to the servers that own their keys."""
 
 
-main.add_command(standin)
+for command in (check, entry, explain, publish, rollback, standin, status):
+    main.add_command(command)
--- /dev/null
+++ b/laburnumhatch/commands/outcome.py
@@ -0,0 +1,65 @@
+"""How a publication's outcome is shown and what the command ends with."""
+
+from ..configuration import (
+    PublishConflict,
+    Published,
+    PublishFailed,
+    PublishUnknown,
+    VersionUnknown,
+)
+from .exit_codes import ExitCode
+
+__all__ = ["PublishOutcome", "exit_code_of", "render_outcome"]
+
+PublishOutcome = Published | PublishConflict | PublishFailed | PublishUnknown | VersionUnknown
+DIGEST_LENGTH = 12
+
+
+def exit_code_of(outcome: PublishOutcome) -> ExitCode:
+    """Return the exit code of a publication."""
+    match outcome:
+        case Published():
+            return ExitCode.DONE
+        case PublishConflict():
+            return ExitCode.CONFLICT
+        case PublishFailed():
+            return ExitCode.PLATFORM_UNAVAILABLE
+        case PublishUnknown():
+            return ExitCode.OUTCOME_UNKNOWN
+        case VersionUnknown():
+            return ExitCode.BAD_INPUT
+
+
+def render_outcome(outcome: PublishOutcome) -> str:
+    """Return what happened and what the operator may do.
+
+    Examples
+    --------
+    >>> render_outcome(Published(3, "ab" * 32, changed=False))
+    'version 3 (abababababab) was in force already; nothing was written'
+    """
+    match outcome:
+        case Published(version, digest, True):
+            return f"version {version} ({_short(digest)}) is in force"
+        case Published(version, digest):
+            return f"version {version} ({_short(digest)}) was in force already; nothing was written"
+        case PublishConflict(version, publisher, digest, own_digest):
+            return (
+                f"conflict: {publisher or 'nobody'} has version {version} ({_short(digest)}) in"
+                f" force; your snapshot {_short(own_digest)} is stored but not in force. Look at"
+                " the difference with `laburnumhatch diff` and publish again."
+            )
+        case PublishFailed(reason):
+            return f"nothing was put into force: {reason}. Publish again later."
+        case PublishUnknown(version, digest, reason):
+            return (
+                f"not known whether version {version} ({_short(digest)}) is in force: {reason}."
+                " Ask with `laburnumhatch status` or publish again once the platform answers."
+            )
+        case VersionUnknown(version, known):
+            versions = ", ".join(str(n) for n in known) or "none"
+            return f"version {version} can't be rolled back to; known versions: {versions}"
+
+
+def _short(digest: str) -> str:
+    return digest[:DIGEST_LENGTH]
--- a/laburnumhatch/commands/standin.py
+++ b/laburnumhatch/commands/standin.py
@@ -1,29 +1,70 @@
-"""The commands ``standin platform`` and ``standin upstream``."""
+"""The commands ``standin platform``, ``standin upstream`` and ``standin service``."""
 
-from datetime import timedelta
+from collections.abc import Callable
 from pathlib import Path
-from urllib.parse import unquote
+from typing import Any
 
 import click
 from pydantic import TypeAdapter, ValidationError
 from twisted.internet import reactor
-from twisted.web.http import Request
 
 from ..clocks import ReactorClock, boot_seconds, milliseconds
 from ..platform import ListedInstance
+from ..routing import RoutingFile, Service, service_from_file
+from ..settings import DocumentError, read_document
 from ..standins import (
     PlatformStandin,
+    ServedApp,
     UpstreamOptions,
     UpstreamStandin,
     build_platform_app,
     build_upstream_app,
-    run_site,
+    leave_all,
+    matched_key,
+    run_apps,
+    second_segment,
 )
+from .arguments import fail
+from .exit_codes import ExitCode
 
 __all__ = ["standin"]
 
 ANY_PORT = 0
 _LIST = TypeAdapter(tuple[ListedInstance, ...])
+Command = Callable[..., Any]
+
+
+def _host_option(command: Command) -> Command:
+    option = click.option("--host", default="127.0.0.1", show_default=True, help="IP number.")
+    return option(command)
+
+
+def _port_option(command: Command) -> Command:
+    kind = click.IntRange(0, 65535)
+    option = click.option("--port", default=ANY_PORT, type=kind, help="0 takes any free port.")
+    return option(command)
+
+
+def _behaviour_options(command: Command) -> Command:
+    options = (
+        click.option(
+            "--queue", "queue_limit", default=16, show_default=True, type=click.IntRange(0)
+        ),
+        click.option(
+            "--cold-start-ms", "cold_start", default=0, show_default=True, callback=_duration
+        ),
+        click.option("--work-ms", "work", default=1.0, show_default=True, callback=_duration),
+        click.option("--honours-expiry/--ignores-expiry", default=True, show_default=True),
+    )
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+def _duration(ctx: click.Context, parameter: click.Parameter, value: float) -> Any:
+    if value < 0:
+        raise click.BadParameter("expected a number of milliseconds, 0 or more")
+    return milliseconds(value)
 
 
 @click.group()
@@ -32,8 +73,8 @@
 
 
 @standin.command()
-@click.option("--host", default="127.0.0.1", show_default=True, help="IP number to listen on.")
-@click.option("--port", default=ANY_PORT, type=click.IntRange(0, 65535), help="0 takes any port.")
+@_host_option
+@_port_option
 @click.option(
     "--instances",
     "instances_file",
@@ -45,45 +86,56 @@
     state = PlatformStandin(_clock())
     if instances_file is not None:
         state.instances = _read_instances(instances_file)
-    run_site(build_platform_app(state), host, port, lambda stop: stop())
+    served = ServedApp("http", build_platform_app(state), host, port)
+    run_apps([served], "platform", lambda stop: stop())
 
 
 @standin.command()
 @click.option("--service", required=True, help="Name of the service.")
 @click.option("--name", required=True, help="Name of the target.")
-@click.option("--host", default="127.0.0.1", show_default=True, help="IP number to listen on.")
-@click.option("--port", default=ANY_PORT, type=click.IntRange(0, 65535), help="0 takes any port.")
+@_host_option
+@_port_option
 @click.option("--slots", default=2, show_default=True, type=click.IntRange(1))
-@click.option("--queue", "queue_limit", default=16, show_default=True, type=click.IntRange(0))
-@click.option("--cold-start-ms", default=0, show_default=True, type=click.IntRange(0))
-@click.option("--work-ms", default=1.0, show_default=True, type=click.FloatRange(0))
 @click.option("--checks-fencing/--no-checks-fencing", default=False, show_default=True)
-@click.option("--honours-expiry/--ignores-expiry", default=True, show_default=True)
+@_behaviour_options
 def upstream(
     service: str,
     name: str,
     host: str,
     port: int,
     slots: int,
-    queue_limit: int,
-    cold_start_ms: int,
-    work_ms: float,
     checks_fencing: bool,
-    honours_expiry: bool,
+    **behaviour: Any,
 ) -> None:
-    """Serve as one target of a service."""
-    options = UpstreamOptions(
-        service=service,
-        name=name,
-        slots=slots,
-        queue_limit=queue_limit,
-        cold_start=timedelta(milliseconds=cold_start_ms),
-        work=milliseconds(work_ms),
-        checks_fencing=checks_fencing,
-        honours_expiry=honours_expiry,
-    )
-    state = UpstreamStandin(options, _clock(), _second_segment)
-    run_site(build_upstream_app(state), host, port, state.leave)
+    """Serve as one target of a service; the key is the path's second segment."""
+    options = UpstreamOptions(service, name, slots, checks_fencing, **behaviour)
+    state = UpstreamStandin(options, _clock(), second_segment)
+    run_apps([ServedApp("http", build_upstream_app(state), host, port)], name, state.leave)
+
+
+@standin.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--target", "names", multiple=True, help="Only this target; may be repeated.")
+@click.option("--any-port", is_flag=True, help="Take free ports instead of those in the file.")
+@_behaviour_options
+def service(file: Path, names: tuple[str, ...], any_port: bool, **behaviour: Any) -> None:
+    """Serve as the targets that the routing file FILE names, all in one process."""
+    description = _read_service(file)
+    targets = [t for t in description.targets if not names or t.name in names]
+    if not targets:
+        raise click.UsageError(f"{file}: no target is called {' or '.join(names)}")
+    checks_fencing = description.ownership is not None and description.ownership.checks_fencing
+    states: list[UpstreamStandin] = []
+    served: list[ServedApp] = []
+    for target in targets:
+        options = UpstreamOptions(
+            description.name, target.name, description.target_slots, checks_fencing, **behaviour
+        )
+        state = UpstreamStandin(options, _clock(), matched_key(description))
+        port = ANY_PORT if any_port else target.port
+        states.append(state)
+        served.append(ServedApp(target.name, build_upstream_app(state), target.host, port))
+    run_apps(served, description.name, lambda stop: leave_all(states, stop))
 
 
 def _clock() -> ReactorClock:
@@ -91,10 +143,11 @@
     return ReactorClock(reactor, boot_seconds)  # type: ignore[arg-type]
 
 
-def _second_segment(request: Request) -> str:
-    """Return the key of a request, which the example routing files put there."""
-    segments = request.path.decode().split("/")
-    return unquote(segments[2]) if len(segments) > 2 else ""
+def _read_service(path: Path) -> Service:
+    try:
+        return service_from_file(read_document(path, RoutingFile))
+    except DocumentError as e:
+        fail(ExitCode.BAD_INPUT, str(e))
 
 
 def _read_instances(path: Path) -> tuple[ListedInstance, ...]:
@@ -102,4 +155,4 @@
         return _LIST.validate_json(path.read_bytes())
     except ValidationError as e:
         field = ".".join(str(part) for part in e.errors()[0]["loc"])
-        raise click.UsageError(f"{path}: field {field}: {e.errors()[0]['msg']}") from e
+        fail(ExitCode.BAD_INPUT, f"{path}: field {field}: {e.errors()[0]['msg']}")
--- /dev/null
+++ b/laburnumhatch/commands/status.py
@@ -0,0 +1,72 @@
+"""The command ``status``."""
+
+import json
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .admin_client import AdminAddress, AdminAnswer, Unanswered
+from .admin_option import address_options, ask_instances
+from .arguments import json_option
+from .exit_codes import ExitCode
+
+__all__ = ["render_status", "show_answers", "status"]
+
+
+@click.command()
+@address_options
+@json_option
+def status(
+    admin_addresses: tuple[AdminAddress, ...], settings_path: Path | None, as_json: bool
+) -> None:
+    """Show the state of entry instances."""
+    answers = ask_instances(admin_addresses, settings_path, "status", {})
+    show_answers(answers, as_json, render_status)
+
+
+def show_answers(answers: Iterable[AdminAnswer | Unanswered], as_json: bool, render: Any) -> None:
+    """Print answers, and end with an exit code of its own where an instance gave none."""
+    answers = list(answers)
+    for answer in answers:
+        if as_json:
+            click.echo(json.dumps(_document(answer)))
+        elif isinstance(answer, Unanswered):
+            click.echo(f"{answer.address}: no answer: {answer.reason}", err=True)
+        else:
+            click.echo(render(answer.document))
+    if any(isinstance(answer, Unanswered) for answer in answers):
+        sys.exit(ExitCode.INSTANCE_UNREACHABLE)
+
+
+def render_status(document: dict[str, Any]) -> str:
+    """Return the text for one instance's state."""
+    configuration = document["configuration"]
+    lines = [
+        f"{document['instance']} in {document['data_centre']}: {document['state']},"
+        f" {_readiness(document)}",
+        f"  configuration version {configuration['version']} ({configuration['digest'][:12]})",
+        f"  instances: {', '.join(document['instances']) or 'none'}",
+        f"  links to: {', '.join(document['links']) or 'none'}",
+        f"  requests in flight: {document['in_flight']}",
+    ]
+    if configuration["problem"]:
+        lines.insert(2, f"  configuration problem: {configuration['problem']}")
+    for service, group in sorted(document["ownership"].items()):
+        facts = ", ".join(f"{name.replace('_', ' ')} {value}" for name, value in group.items())
+        lines.append(f"  ownership of {service}: {facts}")
+    return "\n".join(lines)
+
+
+def _readiness(document: dict[str, Any]) -> str:
+    if document["ready"]:
+        return "ready"
+    return "not ready: " + "; ".join(document["reasons"])
+
+
+def _document(answer: AdminAnswer | Unanswered) -> dict[str, Any]:
+    if isinstance(answer, Unanswered):
+        return {"address": str(answer.address), "problem": answer.reason}
+    return {"address": str(answer.address), **answer.document}
--- /dev/null
+++ b/laburnumhatch/entry/tests/test_whole_path.py
@@ -0,0 +1,106 @@
+"""Real processes serve every kind of request of both deployments."""
+
+import hashlib
+import json
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+import pytest_twisted
+from twisted.internet.defer import Deferred, gatherResults
+
+from ...standins.caller import Answer
+from ...standins.deployment import start_deployment
+from ...standins.processes import wait_until
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+ENTRIES = ("entry-1", "entry-2")
+NAMES = ("rosa", "b 2/æ")
+ENCODED_NAMES = ("rosa", "b%202%2F%C3%A6")
+FILM_BYTES = 300_000
+OWNED_WITHIN = timedelta(seconds=10)
+
+
+@pytest.mark.parametrize(("example", "checks_fencing"), [("duefjaer", False), ("caroni", True)])
+@pytest_twisted.ensureDeferred
+async def test_every_kind_is_answered_by_the_right_server(
+    processes, caller, example, checks_fencing
+):
+    deployment = await start_deployment(
+        processes, caller, EXAMPLES / example, ENTRIES, checks_fencing=checks_fencing
+    )
+    published = await deployment.publish()
+    assert published.exit_code == 0, published.output
+    await deployment.entries_ready()
+    owners = await _owners(deployment)
+    sent = [
+        _send_and_check(deployment, entry, file, kind, n, owners)
+        for entry in ENTRIES
+        for file in deployment.services.values()
+        for kind in file.kinds.values()
+        for n in range(len(NAMES))
+    ]
+    assert len(sent) == len(ENTRIES) * 12 * len(NAMES) - (4 if example == "duefjaer" else 0)
+    await gatherResults([Deferred.fromCoroutine(one) for one in sent], consumeErrors=True)
+    await _check_refusal(deployment)
+    for entry in ENTRIES:
+        deployment.entries[entry].process.terminate()
+    codes = [await processes.ended(deployment.entries[entry]) for entry in ENTRIES]
+    assert codes == [0, 0], [child.output for child in deployment.entries.values()]
+
+
+async def _owners(deployment):
+    """Return the owner of each name of each owned service, as both entries explain it."""
+    owners = {}
+    for service, file in deployment.services.items():
+        for key, encoded in zip(NAMES, ENCODED_NAMES, strict=True):
+            if file.ownership is not None:
+                owners[service, key] = await wait_until(
+                    deployment.processes.clock,
+                    lambda url=f"explain?service={service}&key={encoded}": _agreed(deployment, url),
+                    OWNED_WITHIN,
+                    f"one owner of {service} key {key}",
+                )
+    return owners
+
+
+async def _agreed(deployment, page):
+    found = [await deployment.fetch(f"{deployment.admin_url(e)}/{page}") for e in ENTRIES]
+    named = {(answer or {}).get("owner") for answer in found}
+    return named.pop() if len(named) == 1 else None
+
+
+async def _send_and_check(deployment, entry, file, kind, n, owners):
+    path = "/".join(ENCODED_NAMES[n] if s.startswith("{") else s for s in kind.path.split("/"))
+    nonce = f"{entry}-{kind.method}-{path}-{n}"
+    query = "nonce=" + hashlib.sha256(nonce.encode()).hexdigest()
+    if "film" in path or "/drawings/" in path:
+        query += f"&answer_bytes={FILM_BYTES}"
+    body = b""
+    headers = {"Deadline-Ms": "20000"}
+    if not kind.repeatable:
+        headers["Idempotency-Key"] = f'"{hashlib.sha256(nonce.encode()).hexdigest()}"'
+    url = f"{deployment.entry_url(entry)}{path}?{query}"
+    answer = await deployment.caller.send(kind.method, url, headers, body)
+    assert isinstance(answer, Answer) and answer.status == 200, (nonce, answer)
+    echo = json.loads(answer.headers["echo"]) if "answer_bytes" in query else answer.document
+    assert echo["service"] == file.service
+    assert (echo["method"], echo["path"], echo["query"]) == (kind.method, path, query)
+    assert (echo["body_bytes"], echo["body_digest"]) == (len(body), _digest(body))
+    assert echo["runs"] == 1
+    if "answer_bytes" in query:
+        assert len(answer.body) == FILM_BYTES
+        assert answer.headers["digest-sha256"] == _digest(answer.body)
+    if file.ownership is not None:
+        assert (echo["key"], echo["server"]) == (NAMES[n], owners[file.service, NAMES[n]])
+        assert echo["epoch"] is not None
+
+
+async def _check_refusal(deployment):
+    answer = await deployment.caller.send("GET", f"{deployment.entry_url('entry-1')}/nowhere")
+    assert answer.headers["content-type"] == "application/problem+json"
+    assert (answer.document["code"], answer.document["run"]) == (101, "no")
+
+
+def _digest(content):
+    return hashlib.sha256(content).hexdigest()
--- a/laburnumhatch/standins/__init__.py
+++ b/laburnumhatch/standins/__init__.py
@@ -1,20 +1,24 @@
 """Stand-ins for the platform and for upstream servers."""
 
-from .daemon import announce, run_site
+from .daemon import ServedApp, run_apps
+from .keys import matched_key, second_segment
 from .platform import PlatformStandin, build_platform_app
 from .platform_faults import PlatformFaults
-from .upstream import UpstreamOptions, UpstreamStandin
+from .upstream import UpstreamOptions, UpstreamStandin, leave_all
 from .upstream_app import build_upstream_app
 from .upstream_faults import UpstreamFaults
 
 __all__ = [
     "PlatformFaults",
     "PlatformStandin",
+    "ServedApp",
     "UpstreamFaults",
     "UpstreamOptions",
     "UpstreamStandin",
-    "announce",
     "build_platform_app",
     "build_upstream_app",
-    "run_site",
+    "leave_all",
+    "matched_key",
+    "run_apps",
+    "second_segment",
 ]
--- /dev/null
+++ b/laburnumhatch/standins/caller.py
@@ -0,0 +1,82 @@
+"""A caller, as tests and the demo need it."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import treq
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from ..clocks import Clock, milliseconds
+
+__all__ = ["Answer", "Caller", "NoAnswer"]
+
+TIMEOUT = milliseconds(30_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; `headers` has names in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def document(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """Why no whole answer came."""
+
+    reason: str
+
+
+class Caller:
+    """Sends requests, each once.
+
+    Parameters
+    ----------
+    reactor
+        A Twisted reactor.
+    clock : Clock
+    """
+
+    def __init__(self, reactor: Any, clock: Clock) -> None:
+        self._clock = clock
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.retryAutomatically = False
+        self._agent: Any = Agent(reactor, pool=self._pool)
+
+    async def send(
+        self, method: str, url: str, headers: dict[str, str] | None = None, body: bytes = b""
+    ) -> Answer | NoAnswer:
+        """Return the whole answer to a request, or why there is none."""
+        sent = Deferred.fromCoroutine(self._send(method, url, headers or {}, body))
+        timeout = self._clock.call_later(TIMEOUT, sent.cancel)
+        try:
+            return await sent
+        except CancelledError:
+            return NoAnswer(f"no answer within {TIMEOUT}")
+        except Exception as e:
+            return NoAnswer(f"{type(e).__name__}: {e}")
+        finally:
+            if timeout.active():
+                timeout.cancel()
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._pool.closeCachedConnections()
+
+    async def _send(self, method: str, url: str, headers: dict[str, str], body: bytes) -> Answer:
+        sent = Headers({name: [value] for name, value in headers.items()})
+        response = await treq.request(method, url, headers=sent, data=body, agent=self._agent)
+        content = await response.content()
+        names = response.headers.getAllRawHeaders()
+        plain = {name.decode().lower(): values[-1].decode("latin-1") for name, values in names}
+        return Answer(response.code, plain, content)
--- a/laburnumhatch/standins/daemon.py
+++ b/laburnumhatch/standins/daemon.py
@@ -1,47 +1,49 @@
-"""Running a stand-in as a daemon."""
+"""Running stand-ins as a daemon."""
 
 import json
 import signal
-import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from klein import Klein
 from twisted.internet import reactor as _reactor
 from twisted.web.server import Site
 
-__all__ = ["announce", "run_site"]
+__all__ = ["ServedApp", "run_apps"]
 
 BACKLOG = 511
 
 
-def announce(addresses: dict[str, Any]) -> None:
-    """Print the one line that tells where a daemon listens."""
-    sys.stdout.write(json.dumps({"listening": addresses}) + "\n")
-    sys.stdout.flush()
+@dataclass(frozen=True, slots=True)
+class ServedApp:
+    """An app and where it listens; port 0 takes any free port."""
 
+    name: str
+    app: Klein
+    host: str
+    port: int
 
-def run_site(
-    app: Klein, host: str, port: int, on_terminate: Callable[[Callable[[], None]], None]
+
+def run_apps(
+    served: Iterable[ServedApp], announced: str, on_terminate: Callable[[Callable[[], None]], None]
 ) -> None:
-    """Serve an app until the process is told to end.
+    """Serve apps until the process is told to end.
 
     Parameters
     ----------
-    app : Klein
-    host : str
-        IP number.
-    port : int
-        0 takes any free port.
+    served : iterable of ServedApp
+    announced : str
+        Name of the process in the line that tells where it listens.
     on_terminate : callable
         Called with a function that stops the loop when SIGTERM or SIGINT arrives.
 
     Notes
     -----
-    Prints ``{"listening": {"http": {"host": ..., "port": ...}}}`` when connections are accepted.
+    Prints ``{"listening": {"name": ANNOUNCED, NAME: PORT, ...}}`` when all ports are open.
     """
     reactor: Any = _reactor
-    listening = reactor.listenTCP(port, Site(app.resource()), backlog=BACKLOG, interface=host)
+    ports = {s.name: _listen(reactor, s) for s in served}
 
     def stop() -> None:
         if reactor.running:
@@ -53,8 +55,14 @@
     def started() -> None:
         signal.signal(signal.SIGTERM, terminate)
         signal.signal(signal.SIGINT, terminate)
-        address = listening.getHost()
-        announce({"http": {"host": address.host, "port": address.port}})
+        print(json.dumps({"listening": {"name": announced, **ports}}), flush=True)
 
     reactor.callWhenRunning(started)
     reactor.run(installSignalHandlers=False)
+
+
+def _listen(reactor: Any, served: ServedApp) -> int:
+    site = Site(served.app.resource())
+    listening = reactor.listenTCP(served.port, site, backlog=BACKLOG, interface=served.host)
+    port: int = listening.getHost().port
+    return port
--- /dev/null
+++ b/laburnumhatch/standins/deployment.py
@@ -0,0 +1,233 @@
+"""A deployment of an example on free ports of this machine."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from ..clocks import milliseconds
+from ..routing import RoutingFile
+from ..settings import read_document
+from .caller import Answer, Caller
+from .processes import Child, ProcessGroup, wait_until
+
+__all__ = ["Deployment", "start_deployment"]
+
+HOST = "127.0.0.1"
+READY_WITHIN = timedelta(seconds=30)
+# No balancer watches these instances.
+UNREADY_BEFORE_CLOSE = milliseconds(100)
+OK = 200
+
+
+@dataclass
+class Deployment:
+    """Processes of a deployment: stand-ins and entry instances.
+
+    Attributes
+    ----------
+    processes : ProcessGroup
+    caller : Caller
+    example : Path
+        Directory of the example's routing files and settings.
+    platform : Child
+    services : dict of str to RoutingFile
+        As published, with the ports that the targets listen on.
+    targets : dict of (str, str) to Child
+        Process of each service's target.
+    entries : dict of str to Child
+    """
+
+    processes: ProcessGroup
+    caller: Caller
+    example: Path
+    platform: Child
+    services: dict[str, RoutingFile] = field(default_factory=dict)
+    targets: dict[tuple[str, str], Child] = field(default_factory=dict)
+    entries: dict[str, Child] = field(default_factory=dict)
+
+    @property
+    def routing_directory(self) -> Path:
+        """Where the routing files with this machine's ports are."""
+        return self.processes.directory / "routing"
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform stand-in."""
+        return f"http://{HOST}:{self.platform.ports['http']}"
+
+    def entry_url(self, name: str) -> str:
+        """Return the base URL at which an entry instance takes callers."""
+        return f"http://{HOST}:{self.entries[name].ports['callers']}"
+
+    def admin_url(self, name: str) -> str:
+        """Return the base URL of an entry instance's admin port."""
+        return f"http://{HOST}:{self.entries[name].ports['admin']}"
+
+    def target_url(self, service: str, target: str) -> str:
+        """Return the base URL of a target."""
+        return f"http://{HOST}:{self.targets[service, target].ports[target]}"
+
+    def settings_path(self, name: str) -> Path:
+        """Return the settings file of an entry instance."""
+        return self.processes.directory / f"{name}.settings.json"
+
+    async def fetch(self, url: str) -> Any:
+        """Return the JSON document at a URL; None where there is no good answer."""
+        answer = await self.caller.send("GET", url)
+        if not isinstance(answer, Answer) or answer.status != OK:
+            return None
+        return answer.document
+
+    async def replace(self, url: str, document: Any) -> None:
+        """Replace the JSON document at a URL.
+
+        Raises
+        ------
+        RuntimeError
+            If it isn't accepted.
+        """
+        answer = await self.caller.send("PUT", url, {}, json.dumps(document).encode())
+        if not isinstance(answer, Answer) or answer.status != OK:
+            raise RuntimeError(f"PUT {url}: {answer}")
+
+    async def publish(self) -> Child:
+        """Publish the routing files with the real command, and return it."""
+        settings = str(self.settings_path(next(iter(self.entries))))
+        directory = str(self.routing_directory)
+        return await self.processes.run("publish", "publish", directory, "--settings", settings)
+
+    async def start_entries(self, names: Sequence[str]) -> None:
+        """Start entry instances by the example's settings, and list them."""
+        for name in names:
+            self._write_settings(name)
+            path = str(self.settings_path(name))
+            self.entries[name] = self.processes.launch(name, "entry", "--settings", path)
+        for name in names:
+            await self.processes.listening(self.entries[name])
+        await self.list_entries()
+
+    async def list_entries(self) -> None:
+        """Tell the platform which entry instances are live."""
+        live = {n: child for n, child in self.entries.items() if child.exit_code is None}
+        listed = [self._listed(name, child) for name, child in live.items()]
+        await self.replace(f"{self.platform_url}/instances", listed)
+
+    async def entries_ready(self) -> None:
+        """Return when every live entry instance is ready."""
+        for name, child in self.entries.items():
+            if child.exit_code is None:
+                await self.entry_ready(name)
+
+    async def entry_ready(self, name: str) -> None:
+        """Return when an entry instance is ready."""
+        url = f"{self.admin_url(name)}/readyz"
+        clock = self.processes.clock
+        await wait_until(clock, lambda: self.fetch(url), READY_WITHIN, f"{name} ready")
+
+    def _write_settings(self, name: str) -> None:
+        text = (self.example / "settings" / f"{name}.json").read_text(encoding="utf-8")
+        settings = json5.loads(text)
+        for listener in ("callers", "peers", "admin"):
+            settings[listener] = {"host": HOST, "port": 0}
+        settings["platform"] = {
+            "table": f"{self.platform_url}/table",
+            "object_store": f"{self.platform_url}/objects",
+            "instance_list": f"{self.platform_url}/instances",
+        }
+        settings["unready_before_close"] = UNREADY_BEFORE_CLOSE.total_seconds()
+        self.settings_path(name).write_text(json.dumps(settings), encoding="utf-8")
+
+    def _listed(self, name: str, child: Child) -> dict[str, Any]:
+        settings = json.loads(self.settings_path(name).read_text(encoding="utf-8"))
+        return {
+            "name": name,
+            "host": HOST,
+            "peer_port": child.ports.get("peers", 0),
+            "admin_port": child.ports["admin"],
+            "data_centre": settings["data_centre"],
+            "state": "live",
+        }
+
+
+async def start_deployment(
+    processes: ProcessGroup,
+    caller: Caller,
+    example: Path,
+    entry_names: Sequence[str],
+    *,
+    checks_fencing: bool = False,
+    separate: frozenset[str] = frozenset(),
+    work_ms: float = 1.0,
+) -> Deployment:
+    """Start the stand-ins and entry instances of an example, without publishing.
+
+    Parameters
+    ----------
+    processes : ProcessGroup
+    caller : Caller
+    example : Path
+        Directory of the example.
+    entry_names : sequence of str
+        Instances to start, by the example's settings.
+    checks_fencing : bool, optional
+        Whether servers that own keys check fencing tokens.
+    separate : frozenset of str, optional
+        Services whose targets get a process each; the others share one for each service.
+    work_ms : float, optional
+        Work time of a request.
+    """
+    platform = processes.launch("platform", "standin", "platform")
+    deployment = Deployment(processes, caller, example, platform)
+    files = _read_files(example, checks_fencing)
+    deployment.routing_directory.mkdir()
+    for file in files:
+        path = deployment.routing_directory / f"{file.service}.routing.json"
+        path.write_text(file.model_dump_json(exclude_none=True), encoding="utf-8")
+        _launch_targets(deployment, file, path, file.service in separate, work_ms)
+    await processes.listening(platform)
+    for file in files:
+        await _publishable(deployment, file)
+    await deployment.start_entries(entry_names)
+    return deployment
+
+
+def _read_files(example: Path, checks_fencing: bool) -> list[RoutingFile]:
+    files = [read_document(path, RoutingFile) for path in sorted(example.rglob("*.routing.json"))]
+    return [_with_fencing(file, checks_fencing) for file in files]
+
+
+def _with_fencing(file: RoutingFile, checks_fencing: bool) -> RoutingFile:
+    if file.ownership is None:
+        return file
+    ownership = file.ownership.model_copy(update={"checks_fencing": checks_fencing})
+    return file.model_copy(update={"ownership": ownership})
+
+
+def _launch_targets(
+    deployment: Deployment, file: RoutingFile, path: Path, separate: bool, work_ms: float
+) -> None:
+    names = [server.name for server in file.targets.servers]
+    arguments = ["standin", "service", str(path), "--any-port", "--work-ms", str(work_ms)]
+    shared = None if separate else deployment.processes.launch(file.service, *arguments)
+    for name in names:
+        child = shared or deployment.processes.launch(name, *arguments, "--target", name)
+        deployment.targets[file.service, name] = child
+
+
+async def _publishable(deployment: Deployment, file: RoutingFile) -> None:
+    """Write a routing file with the ports that its targets listen on."""
+    servers = []
+    for server in file.targets.servers:
+        child = deployment.targets[file.service, server.name]
+        ports = await deployment.processes.listening(child)
+        servers.append(server.model_copy(update={"port": ports[server.name]}))
+    targets = file.targets.model_copy(update={"servers": tuple(servers)})
+    published = file.model_copy(update={"targets": targets})
+    deployment.services[file.service] = published
+    path = deployment.routing_directory / f"{file.service}.routing.json"
+    path.write_text(published.model_dump_json(exclude_none=True), encoding="utf-8")
--- /dev/null
+++ b/laburnumhatch/standins/keys.py
@@ -0,0 +1,29 @@
+"""How an upstream stand-in finds the key of a request."""
+
+from urllib.parse import unquote
+
+from twisted.web.http import Request
+
+from ..routing import Service, Snapshot, build_matcher
+from .upstream import KeyFinder
+
+__all__ = ["matched_key", "second_segment"]
+
+
+def second_segment(request: Request) -> str:
+    """Return the path's second segment, where most services put the key."""
+    segments = request.path.decode().split("/")
+    return unquote(segments[2]) if len(segments) > 2 else ""
+
+
+def matched_key(service: Service) -> KeyFinder:
+    """Return a function that finds keys as the service's routing file says."""
+    match = build_matcher(Snapshot(0, "", (service,)))
+
+    def find(request: Request) -> str:
+        pairs = request.requestHeaders.getAllRawHeaders()
+        headers = {name.decode().lower(): values[0].decode("latin-1") for name, values in pairs}
+        found = match(request.method.decode(), request.uri.decode(), headers)
+        return found.key or "" if found is not None else ""
+
+    return find
--- /dev/null
+++ b/laburnumhatch/standins/processes.py
@@ -0,0 +1,172 @@
+"""Child processes of tests and of the demo."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, Self
+
+from twisted.internet.defer import Deferred
+
+from ..clocks import Clock, milliseconds
+
+__all__ = ["Child", "ProcessGroup", "wait_until"]
+
+POLL_INTERVAL = milliseconds(20)
+START_WITHIN = timedelta(seconds=30)
+END_WITHIN = timedelta(seconds=40)
+SHOWN_OUTPUT_CHARS = 4_000
+
+
+async def wait_until(
+    clock: Clock, condition: Callable[[], Any], within: timedelta, what: str
+) -> Any:
+    """Return the first true value of `condition`, which may be a coroutine function.
+
+    Raises
+    ------
+    TimeoutError
+        If there is none within `within`; the message says `what` was waited for.
+    """
+    end = clock.now() + within
+    while True:
+        value = condition()
+        if hasattr(value, "__await__"):
+            value = await value
+        if value:
+            return value
+        if clock.now() > end:
+            raise TimeoutError(f"{what}: not within {within.total_seconds():g} s")
+        due: Deferred[None] = Deferred()
+        clock.call_later(POLL_INTERVAL, due.callback, None)
+        await due
+
+
+@dataclass
+class Child:
+    """A child process.
+
+    Attributes
+    ----------
+    name : str
+    process : subprocess.Popen
+    stdout, stderr : Path
+        Files that hold its output.
+    """
+
+    name: str
+    process: subprocess.Popen[bytes]
+    stdout: Path
+    stderr: Path
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """The ports it listens on, by name; empty until it has said so."""
+        line = self.stdout.read_text().partition("\n")[0]
+        if not line.startswith('{"listening"'):
+            return {}
+        listening: dict[str, int] = json.loads(line)["listening"]
+        return listening
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative for a signal; None while it runs."""
+        return self.process.poll()
+
+    @property
+    def output(self) -> str:
+        """The end of what it wrote."""
+        text = f"{self.stdout.read_text()}{self.stderr.read_text()}"
+        return f"--- {self.name}\n{text[-SHOWN_OUTPUT_CHARS:]}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.exit_code is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once, as a crash would."""
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Stop it without its knowledge."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on as though nothing had happened."""
+        self.signal(signal.SIGCONT)
+
+
+@dataclass
+class ProcessGroup:
+    """Child processes that end with a ``with`` block.
+
+    Attributes
+    ----------
+    clock : Clock
+    directory : Path
+        Where their output is kept.
+    """
+
+    clock: Clock
+    directory: Path
+    children: list[Child] = field(default_factory=list)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for child in self.children:
+            child.kill()
+
+    def launch(self, name: str, *arguments: str) -> Child:
+        """Start ``laburnumhatch ARGUMENTS`` without waiting for it."""
+        number = len(self.children)
+        stdout = self.directory / f"{number}-{name}.out"
+        stderr = self.directory / f"{number}-{name}.err"
+        command = [sys.executable, "-m", "laburnumhatch", *arguments]
+        with stdout.open("wb") as out, stderr.open("wb") as err:
+            process = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=out, stderr=err, env=os.environ
+            )
+        child = Child(name, process, stdout, stderr)
+        self.children.append(child)
+        return child
+
+    async def listening(self, child: Child) -> dict[str, int]:
+        """Return the ports of a child once it listens.
+
+        Raises
+        ------
+        RuntimeError
+            If it ends instead; the message holds its output.
+        """
+
+        def ready() -> bool:
+            return bool(child.ports) or child.exit_code is not None
+
+        await wait_until(self.clock, ready, START_WITHIN, f"start of {child.name}")
+        if not child.ports:
+            raise RuntimeError(f"{child.name} ended with {child.exit_code}\n{child.output}")
+        return child.ports
+
+    async def ended(self, child: Child) -> int:
+        """Return the exit code of a child once it has ended."""
+        await wait_until(
+            self.clock, lambda: child.exit_code is not None, END_WITHIN, f"end of {child.name}"
+        )
+        code = child.exit_code
+        assert code is not None
+        return code
+
+    async def run(self, name: str, *arguments: str) -> Child:
+        """Run a command to its end."""
+        child = self.launch(name, *arguments)
+        await self.ended(child)
+        return child
--- a/laburnumhatch/standins/upstream.py
+++ b/laburnumhatch/standins/upstream.py
@@ -1,9 +1,10 @@
 """State of an upstream stand-in, and the path of one request through it."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from urllib.parse import parse_qs
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -19,7 +20,7 @@
 from .upstream_faults import UpstreamFaults
 from .work_queue import WorkQueue
 
-__all__ = ["UpstreamOptions", "UpstreamStandin"]
+__all__ = ["KeyFinder", "UpstreamOptions", "UpstreamStandin", "leave_all"]
 
 OK = 200
 CONFLICT = 409
@@ -29,7 +30,7 @@
 COLD_SLOWDOWN = 2
 READ_SIZE = 65_536
 
-# Returns the key of a request: method, request target and headers.
+# Returns the key of a request; empty where it has none.
 KeyFinder = Callable[[Request], str]
 
 
@@ -42,22 +43,25 @@
     service, name : str
     slots : int
         Requests that run at a time.
+    checks_fencing : bool
+        Run only requests for whose slot or key a grant is held.
     queue_limit : int
         Requests that wait at most; further ones are refused unrun.
     cold_start : timedelta
         Time from the start in which no request is taken; as long again, work takes twice as long.
     work : timedelta
         Time that one request runs.
-    checks_fencing, honours_expiry : bool
+    honours_expiry : bool
+        Whether grants end after their time; otherwise only tokens are compared.
     """
 
     service: str
     name: str
     slots: int
+    checks_fencing: bool
     queue_limit: int
     cold_start: timedelta
     work: timedelta
-    checks_fencing: bool
     honours_expiry: bool
 
 
@@ -256,6 +260,19 @@
                 call()
 
 
+def leave_all(upstreams: Sequence[UpstreamStandin], when_idle: Callable[[], None]) -> None:
+    """Drain several upstreams, and call `when_idle` once all are idle."""
+    busy = set(range(len(upstreams)))
+
+    def idle(n: int) -> None:
+        busy.discard(n)
+        if not busy:
+            when_idle()
+
+    for n, upstream in enumerate(upstreams):
+        upstream.leave(partial(idle, n))
+
+
 def _cancelled(failure: Failure, request: Request) -> bytes:
     failure.trap(CancelledError)
     return answer_json(request, CANCELLED, {"error": "cancelled"})
