Show a whole deployment in the demo

It starts every process of a deployment, sends all kinds of request, kills the server that owns a key and the coordinating entry, and prints what was sent, who answered and the figures.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
+# Deployment that the demo shows: duefjaer or caroni.
+EXAMPLE ?= duefjaer
 READY := $(VENV)/.ready
 
 .PHONY: setup test demo format lint types measure bench capacity faults clean
@@ -15,7 +17,7 @@
 	$(PY) -m pytest
 
 demo: $(READY)
-	$(PY) examples/demo.py
+	$(PY) examples/demo.py $(EXAMPLE)
 
 format: $(READY)
 	$(VENV)/bin/black laburnumhatch examples
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,295 @@
+"""Starts a deployment of an example, sends traffic, breaks things and prints what was seen.
+
+Run it with ``make demo``, or with ``python examples/demo.py caroni``. Everything listens on free
+ports of 127.0.0.1, and nothing is left running.
+"""
+
+import json
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.python.failure import Failure
+
+from laburnumhatch.clocks import ReactorClock, boot_seconds, to_milliseconds
+from laburnumhatch.routing import RoutingFile
+from laburnumhatch.standins.caller import Answer, Caller
+from laburnumhatch.standins.deployment import Deployment, start_deployment
+from laburnumhatch.standins.processes import ProcessGroup, wait_until
+
+EXAMPLES = Path(__file__).parent
+OWNED_SERVICES = {"duefjaer": "loft-availability", "caroni": "timber-yard-stock-ledger"}
+ENTRIES = tuple(f"entry-{n}" for n in range(1, 9))
+KEYS = 40
+ROUNDS = 6
+CALLERS = 16
+FILM_BYTES = 2_000_000
+SERVED_AGAIN_WITHIN = timedelta(seconds=15)
+SEED = 7
+
+Message = Callable[[str], None]
+
+
+@dataclass
+class Figures:
+    """What was sent and what came back."""
+
+    sent: Counter[str] = field(default_factory=Counter)
+    answered: Counter[str] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+    servers: Counter[str] = field(default_factory=Counter)
+    wrong: list[str] = field(default_factory=list)
+    latencies_ms: list[int] = field(default_factory=list)
+
+    def latency_ms(self, share: float) -> int:
+        """Return the latency that `share` of the answers stay within."""
+        ordered = sorted(self.latencies_ms) or [0]
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@dataclass(frozen=True)
+class Request:
+    """One request of a kind for a key."""
+
+    service: str
+    kind: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    streamed: bool
+
+
+def build_requests(files: dict[str, RoutingFile], rounds: int, seed: int) -> list[Request]:
+    """Return requests of every kind of every service, in a shuffled order."""
+    requests = []
+    for file in files.values():
+        for name, kind in file.kinds.items():
+            for n in range(rounds * 4):
+                requests.append(_request(file.service, name, kind, n, f"{name}-{n}-{seed}"))
+    random.Random(seed).shuffle(requests)
+    return requests
+
+
+def _request(service: str, name: str, kind: Any, n: int, tag: str) -> Request:
+    path = "/".join(f"key-{n % KEYS}" if s.startswith("{") else s for s in kind.path.split("/"))
+    streamed = kind.method == "GET" and path.endswith("film")
+    streamed = streamed or (kind.method == "GET" and path.startswith("/drawings/"))
+    query = f"?tag={tag}" + (f"&answer_bytes={FILM_BYTES}" if streamed else "")
+    headers = {} if kind.repeatable else {"Idempotency-Key": f'"{service}-{tag}"'}
+    return Request(service, name, kind.method, path + query, headers, streamed)
+
+
+class Demo:
+    """The demo of one deployment."""
+
+    def __init__(self, deployment: Deployment, say: Message) -> None:
+        self.deployment = deployment
+        self.figures = Figures()
+        self.failures: list[str] = []
+        self._say = say
+        self._clock = deployment.processes.clock
+
+    async def send_all(self, requests: list[Request], entries: list[str]) -> None:
+        """Send requests over all entries, a few at a time."""
+        waiting = [(r, entries[n % len(entries)]) for n, r in enumerate(requests)]
+
+        async def send_some() -> None:
+            while waiting:
+                await self.send(*waiting.pop())
+
+        await gatherResults([Deferred.fromCoroutine(send_some()) for _ in range(CALLERS)])
+
+    async def send(self, request: Request, entry: str) -> bool:
+        """Send one request; return whether it was answered."""
+        figures = self.figures
+        name = f"{request.service} {request.kind}"
+        figures.sent[name] += 1
+        started = self._clock.now()
+        url = self.deployment.entry_url(entry) + request.path
+        answer = await self.deployment.caller.send(request.method, url, request.headers)
+        if not isinstance(answer, Answer):
+            figures.refused[answer.reason.partition(":")[0]] += 1
+            return False
+        if answer.status != 200:
+            figures.refused[_refusal_text(answer)] += 1
+            return False
+        figures.answered[name] += 1
+        figures.latencies_ms.append(to_milliseconds(self._clock.now() - started))
+        echo = json.loads(answer.headers["echo"]) if request.streamed else answer.document
+        figures.servers[f"{request.service} {echo['server']}"] += 1
+        if f"{echo['path']}?{echo['query']}" != request.path:
+            figures.wrong.append(f"{request.path} got the answer to {echo['path']}")
+        return True
+
+    async def kill_server(self, service: str) -> None:
+        """Kill the server that owns a key, and wait until the key is served again."""
+        key = "key-0"
+        explained = await self._explain(service, key)
+        owner = explained["owner"]
+        self._say(f"killing {owner}, which owns {service} {key} (epoch {explained['epoch']})")
+        self.deployment.targets[service, owner].kill()
+        took = await self._served_again([self._view(service, key)])
+        if took is not None:
+            explained = await self._explain(service, key)
+            self._say(
+                f"served again after {took.total_seconds():.2f} s by {explained['owner']}"
+                f" (epoch {explained['epoch']})"
+            )
+
+    async def kill_entry(self, service: str) -> None:
+        """Kill the entry instance that coordinates a service, and use the others."""
+        status = await self.deployment.fetch(
+            f"{self.deployment.admin_url(self._live_entries()[0])}/status"
+        )
+        victim = status["ownership"][service].get("coordinator") or self._live_entries()[-1]
+        self._say(f"killing {victim}, which coordinates {service}")
+        self.deployment.entries[victim].kill()
+        await self.deployment.list_entries()
+        took = await self._served_again([self._view(service, f"key-{n}") for n in range(KEYS)])
+        if took is not None:
+            self._say(f"all {KEYS} keys answered by the others after {took.total_seconds():.2f} s")
+
+    async def _served_again(self, requests: list[Request]) -> timedelta | None:
+        """Repeat requests until each is answered; return how long that took."""
+        entries = self._live_entries()
+        started = self._clock.now()
+        for n, request in enumerate(requests):
+            entry = entries[n % len(entries)]
+            send = partial(self.send, request, entry)
+            try:
+                await wait_until(self._clock, send, SERVED_AGAIN_WITHIN, request.path)
+            except TimeoutError as e:
+                self.failures.append(f"not served again: {e}")
+                self._say(self.failures[-1])
+                return None
+        return self._clock.now() - started
+
+    def show_figures(self) -> None:
+        """Print what was sent, who answered and the figures."""
+        figures = self.figures
+        self._say("\nsent and answered, by kind")
+        for name, sent in sorted(figures.sent.items()):
+            self._say(f"  {name:48} {sent:5} sent {figures.answered[name]:5} answered")
+        self._say("who answered")
+        for service in sorted(self.deployment.services):
+            counts = {n: c for n, c in figures.servers.items() if n.startswith(f"{service} ")}
+            texts = [f"{n.partition(' ')[2]} {c}" for n, c in sorted(counts.items(), key=_by_count)]
+            self._say(f"  {service}: {', '.join(texts)}")
+        self._say("not answered")
+        for reason, count in figures.refused.most_common():
+            self._say(f"  {count:5} {reason}")
+        self._say(
+            f"{sum(figures.sent.values())} sent, {sum(figures.answered.values())} answered,"
+            f" {len(figures.wrong)} with another request's answer;"
+            f" latency p50 {figures.latency_ms(0.5)} ms, p99 {figures.latency_ms(0.99)} ms"
+        )
+
+    def _live_entries(self) -> list[str]:
+        entries = self.deployment.entries.items()
+        return [name for name, child in entries if child.exit_code is None]
+
+    def _view(self, service: str, key: str) -> Request:
+        file = self.deployment.services[service]
+        name, kind = next((n, k) for n, k in file.kinds.items() if k.method == "GET")
+        path = "/".join(key if s.startswith("{") else s for s in kind.path.split("/"))
+        return Request(service, name, kind.method, f"{path}?tag=again", {}, False)
+
+    async def _explain(self, service: str, key: str) -> Any:
+        entry = self._live_entries()[0]
+        page = f"{self.deployment.admin_url(entry)}/explain?service={service}&key={key}"
+
+        async def owned() -> Any:
+            explained = await self.deployment.fetch(page)
+            return explained if explained and explained["owner"] else None
+
+        return await wait_until(self._clock, owned, SERVED_AGAIN_WITHIN, f"owner of {key}")
+
+
+def _refusal_text(answer: Answer) -> str:
+    if "problem+json" not in answer.headers.get("content-type", ""):
+        return f"status {answer.status}"
+    problem = answer.document
+    return f"{problem['code']} {problem['title']} (run: {problem['run']})"
+
+
+def _by_count(item: tuple[str, int]) -> int:
+    return -item[1]
+
+
+async def run_demo(example: str, directory: Path, say: Message) -> bool:
+    """Run the demo of a deployment; return whether all went as it should."""
+    clock = ReactorClock(_reactor, boot_seconds)  # type: ignore[arg-type]
+    service = OWNED_SERVICES[example]
+    with ProcessGroup(clock, directory) as processes:
+        say(f"starting {example}: a platform stand-in, upstream stand-ins, {len(ENTRIES)} entries")
+        deployment = await start_deployment(
+            processes,
+            Caller(_reactor, clock),
+            EXAMPLES / example,
+            ENTRIES,
+            separate=frozenset({service}),
+        )
+        published = await deployment.publish()
+        say(f"publish: {published.stdout.read_text().strip()}")
+        await deployment.entries_ready()
+        say(f"{len(processes.children) - 1} processes run, all entries are ready")
+        demo = Demo(deployment, say)
+        requests = build_requests(deployment.services, ROUNDS, SEED)
+        await demo.send_all(requests, list(ENTRIES))
+        say(f"sent {len(requests)} requests of every kind over {len(ENTRIES)} entries")
+        await demo.kill_server(service)
+        await demo.kill_entry(service)
+        demo.show_figures()
+        await stop_entries(deployment, say)
+    say("nothing is left running")
+    return not demo.figures.wrong and not demo.failures
+
+
+async def stop_entries(deployment: Deployment, say: Message) -> None:
+    """Shut the entries down gracefully."""
+    live = [child for child in deployment.entries.values() if child.exit_code is None]
+    for child in live:
+        child.signal(signal.SIGTERM)
+    codes = [await deployment.processes.ended(child) for child in live]
+    say(f"{len(live)} entries shut down gracefully, exit codes {sorted(set(codes))}")
+
+
+def main(arguments: list[str]) -> int:
+    """Run the demo of the named example, or of the first."""
+    example = arguments[0] if arguments else next(iter(OWNED_SERVICES))
+    if example not in OWNED_SERVICES:
+        print(f"no example is called {example!r}; expected {' or '.join(OWNED_SERVICES)}")
+        return 2
+    results: list[bool] = []
+
+    def failed(failure: Failure) -> None:
+        print(failure.getTraceback(), file=sys.stderr)
+
+    def start(directory: str) -> None:
+        demo: Coroutine[Any, Any, bool] = run_demo(example, Path(directory), _say)
+        ended = Deferred.fromCoroutine(demo).addCallbacks(results.append, failed)
+        ended.addBoth(lambda _: reactor.stop())
+
+    reactor: Any = _reactor
+    with tempfile.TemporaryDirectory() as directory:
+        reactor.callWhenRunning(start, directory)
+        reactor.run()
+    return 0 if results == [True] else 1
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
