Open the links between the entry instances

Cause: leases, heartbeats and what is learned of targets had no way from instance to instance. Ruled out: dialling before the list of instances was read; nothing is known then. Change: the daemon listens for peers, dials the live instances and stops the links last, after the leases are handed over; one module gives the messages their numbers.

--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -10,7 +10,7 @@
 from ..balancing import TwoChoices
 from ..clocks import Clock
 from ..configuration import ConfigurationFollower
-from ..links import Links, MessageHandler
+from ..links import PeerAddress, PeerLinks
 from ..membership import Instance, InstanceDirectory, TargetHealth
 from ..ownership import OwnershipKeeper
 from ..planning import plan_moves
@@ -21,25 +21,13 @@
 from ..settings import InstanceSettings, ListenAddress
 from .admin import AdminPages, build_admin_site
 from .lifecycle import LifecycleActions, build_lifecycle
+from .messages import build_codec
 
 __all__ = ["EntryInstance"]
 
 _log = logbook.Logger("laburnumhatch.entry")
 
 
-class _NoLinks:
-    """Links of an instance without peers."""
-
-    def send(self, instance: str, message: object) -> bool:
-        return False
-
-    def handle(self, message_type: type, handler: MessageHandler) -> None:
-        pass
-
-    def connected(self) -> tuple[str, ...]:
-        return ()
-
-
 class EntryInstance:
     """The parts of one entry instance.
 
@@ -60,6 +48,7 @@
         self._matcher: Matcher | None = None
         self._registry = Registry()
         self._ports: dict[str, Any] = {}
+        self._peer_port = 0
         self._lifecycle = build_lifecycle(
             LifecycleActions(self._become_unready, self._close_port, self._hand_over, exit)
         )
@@ -70,12 +59,15 @@
     @property
     def ports(self) -> dict[str, int]:
         """The ports that are open, by name."""
-        return {name: port.getHost().port for name, port in self._ports.items()}
+        listening = {name: port.getHost().port for name, port in self._ports.items()}
+        return {**listening, "peers": self._peer_port}
 
     def start(self) -> None:
         """Open the ports and begin to follow the platform and the peers."""
         self._listen("callers", self._settings.callers, self._path.factory())
         self._listen("admin", self._settings.admin, self._admin_site())
+        peers = self._settings.peers
+        self._peer_port = self._links.listen(peers.host, peers.port)
         self._instances.start()
         self._targets.start()
         self._ownership.start()
@@ -143,9 +135,18 @@
             settings.admin.port,
             settings.data_centre,
         )
-        self._links: Links = _NoLinks()
+        self._links = PeerLinks(
+            reactor=self._reactor,
+            clock=self._clock,
+            codec=build_codec(),
+            own=settings.name,
+            shared_key=settings.peer_key,
+        )
         self._instances = InstanceDirectory(
-            clock=self._clock, instance_list=self._instance_list, own=own
+            clock=self._clock,
+            instance_list=self._instance_list,
+            own=own,
+            on_change=self._use_instances,
         )
         self._targets = TargetHealth()
         self._configuration = ConfigurationFollower(
@@ -203,6 +204,9 @@
             address.port, factory, interface=address.host, backlog=512
         )
 
+    def _use_instances(self, live: tuple[Instance, ...]) -> None:
+        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in live)
+
     def _use_snapshot(self, snapshot: Snapshot) -> None:
         self._targets.follow(snapshot)
         self._ownership.use_snapshot(snapshot)
@@ -226,4 +230,5 @@
         self._instances.stop()
         stopped = Deferred.fromCoroutine(self._ownership.stop())
         stopped.addErrback(lambda f: _log.error("hand-over failed: {}", f.getTraceback()))
+        stopped.addBoth(lambda _: self._links.stop())
         stopped.addBoth(lambda _: self._lifecycle.handed_over())
--- /dev/null
+++ b/laburnumhatch/entry/messages.py
@@ -0,0 +1,20 @@
+"""Numbers of the messages between entry instances."""
+
+from ..links import LINK_MESSAGES, Codec
+from ..ownership.messages import OWNERSHIP_MESSAGES
+
+__all__ = ["build_codec"]
+
+OWNERSHIP_FIRST = 100
+MEMBERSHIP_FIRST = 200
+CONFIGURATION_FIRST = 300
+
+
+def build_codec() -> Codec:
+    """Return the codec of all messages between entry instances.
+
+    Notes
+    -----
+    The first number of each family and the order in it are part of the protocol.
+    """
+    return Codec([LINK_MESSAGES, (OWNERSHIP_FIRST, OWNERSHIP_MESSAGES)])
