Bring about failures in real processes and judge each promise

Cause: no run showed which promises hold when processes are killed, frozen or cut off. Ruled out: judging by the instances' own view; the servers' journals and the callers' records are compared instead, so that a lost server's runs count too. Change: a small deployment under traffic behind a balancer stand-in; 17 failures; verdicts on one owner at a time, older epochs, repeated runs, truth of "not run", own answers, and time to be served again. The upstream stand-in journals runs and refusals, and drops the effects of a run whose grant ended under it.

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 types: $(READY)
 	$(VENV)/bin/mypy
 
+faults: $(READY)
+	$(PY) -m laburnumhatch faults
+
 clean:
 	rm -rf $(VENV)
--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -2,6 +2,7 @@
 
 import click
 
+from ..faults.command import faults
 from .check import check
 from .entry import entry
 from .explain import explain
@@ -18,5 +19,5 @@
     """Route keyed requests to the servers that own their keys."""
 
 
-for command in (check, entry, explain, publish, rollback, standin, status):
+for command in (check, entry, explain, faults, publish, rollback, standin, status):
     main.add_command(command)
--- a/laburnumhatch/commands/standin.py
+++ b/laburnumhatch/commands/standin.py
@@ -54,6 +54,9 @@
             "--cold-start-ms", "cold_start", default=0, show_default=True, callback=_duration
         ),
         click.option("--work-ms", "work", default=1.0, show_default=True, callback=_duration),
+        click.option(
+            "--journal", type=click.File("a", lazy=False), help="File that the runs are added to."
+        ),
         click.option("--honours-expiry/--ignores-expiry", default=True, show_default=True),
     )
     for option in reversed(options):
--- /dev/null
+++ b/laburnumhatch/faults/command.py
@@ -0,0 +1,83 @@
+"""The command ``laburnumhatch faults``."""
+
+import sys
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+from twisted.internet.defer import Deferred
+from twisted.internet.task import react
+
+from ..clocks import Clock, ReactorClock, boot_seconds
+from ..standins.caller import Caller
+from ..standins.processes import ProcessGroup
+from .scenarios import SCENARIOS, Scenario
+from .verdict import Verdict, common_verdicts
+from .world import OWNED_SERVICE, open_world
+
+__all__ = ["faults"]
+
+FAILED = 1
+
+
+@dataclass
+class _Tally:
+    held: int = 0
+    broken: int = 0
+
+
+@click.command()
+@click.argument("names", nargs=-1)
+def faults(names: tuple[str, ...]) -> None:
+    """Bring about failures in real processes, and print a verdict for each promise.
+
+    NAMES are the failures to bring about; all by default.
+    """
+    known = {scenario.name: scenario for scenario in SCENARIOS}
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        raise click.UsageError(f"no failure is called {unknown[0]}; known: {', '.join(known)}")
+    chosen = [known[name] for name in names] or list(SCENARIOS)
+    tally = _Tally()
+    # Runs the loop, and ends the process with its exit code.
+    react(lambda reactor: Deferred.fromCoroutine(_run_all(reactor, chosen, tally)))
+
+
+async def _run_all(reactor: Any, scenarios: Sequence[Scenario], tally: _Tally) -> None:
+    clock = ReactorClock(reactor, boot_seconds)
+    for scenario in scenarios:
+        for verdict in await _run(reactor, clock, scenario):
+            _print(scenario, verdict)
+            if verdict.held:
+                tally.held += 1
+            else:
+                tally.broken += 1
+    click.echo(f"{tally.held} held, {tally.broken} broken")
+    if tally.broken:
+        raise SystemExit(FAILED)
+
+
+async def _run(reactor: Any, clock: Clock, scenario: Scenario) -> list[Verdict]:
+    caller = Caller(reactor, clock)
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        ProcessGroup(clock, Path(directory)) as processes,
+    ):
+        world = await open_world(clock, caller, processes, checks_fencing=scenario.checks_fencing)
+        own = await scenario.run(world)
+        await world.traffic.stop()
+        world.balancer.stop()
+        common = common_verdicts(world.traffic.calls, world.server_runs(), OWNED_SERVICE)
+        await caller.close()
+    return [*own, *common]
+
+
+def _print(scenario: Scenario, verdict: Verdict) -> None:
+    word = "held" if verdict.held else "BROKEN"
+    click.echo(
+        f"{scenario.name}: {verdict.promise}; bound {verdict.bound}; seen {verdict.seen}; {word}"
+    )
+    sys.stdout.flush()
--- /dev/null
+++ b/laburnumhatch/faults/verdict.py
@@ -0,0 +1,72 @@
+"""Verdicts of a fault run."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..results import Run
+from .history import ServerRun, find_epoch_reversals, find_owner_overlaps, find_repeated_runs
+from .traffic import Call, longest_gap
+
+__all__ = ["Verdict", "common_verdicts", "gap_verdict"]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a promise held under a failure.
+
+    Attributes
+    ----------
+    promise, bound, seen : str
+    held : bool
+    """
+
+    promise: str
+    bound: str
+    seen: str
+    held: bool
+
+
+def common_verdicts(
+    calls: Sequence[Call], runs: Sequence[ServerRun], owned_service: str
+) -> list[Verdict]:
+    """Return the verdicts on what must hold under every failure.
+
+    Parameters
+    ----------
+    calls : sequence of Call
+    runs : sequence of ServerRun
+        Runs at the servers, with the calls' paths as request identifiers.
+    owned_service : str
+        Service whose keys have exclusive owners.
+    """
+    owned = [run for run in runs if run.service == owned_service]
+    overlaps = find_owner_overlaps(owned)
+    reversals = find_epoch_reversals(owned)
+    repeatable = {call.path for call in calls if call.plan.repeatable}
+    once = [run for run in runs if run.request_id not in repeatable]
+    repeated = find_repeated_runs(once)
+    ran = {run.request_id for run in runs}
+    untrue = [call for call in calls if call.run is Run.NO and call.path in ran]
+    foreign = [call for call in calls if call.status == 200 and not call.own_answer]
+    answered = sum(call.answered for call in calls)
+    return [
+        _none("one owner at a time", overlaps, f"of {len(owned)} runs"),
+        _none("no run under an older epoch", reversals, f"of {len(owned)} runs"),
+        _none("not-repeatable runs at most once", repeated, f"of {len(once)} runs"),
+        _none("'not run' is true", untrue, f"of {len(calls)} calls"),
+        _none("each caller its own answer", foreign, f"of {answered} answers"),
+    ]
+
+
+def gap_verdict(
+    promise: str, calls: list[Call], start: timedelta, end: timedelta, bound: timedelta
+) -> Verdict:
+    """Return whether every plan of calls was answered again within a bound."""
+    gap, plan = longest_gap(calls, start, end)
+    seen = f"{gap.total_seconds():.2f} s ({plan})"
+    return Verdict(promise, f"{bound.total_seconds():g} s", seen, gap <= bound)
+
+
+def _none(promise: str, found: Sequence[object], of: str) -> Verdict:
+    return Verdict(promise, "none", f"{len(found)} {of}", not found)
--- a/laburnumhatch/standins/caller.py
+++ b/laburnumhatch/standins/caller.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Any
 
 import treq
@@ -54,20 +55,25 @@
         self._agent: Any = Agent(reactor, pool=self._pool)
 
     async def send(
-        self, method: str, url: str, headers: dict[str, str] | None = None, body: bytes = b""
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout: timedelta = TIMEOUT,
     ) -> Answer | NoAnswer:
         """Return the whole answer to a request, or why there is none."""
         sent = Deferred.fromCoroutine(self._send(method, url, headers or {}, body))
-        timeout = self._clock.call_later(TIMEOUT, sent.cancel)
+        timer = self._clock.call_later(timeout, sent.cancel)
         try:
             return await sent
         except CancelledError:
-            return NoAnswer(f"no answer within {TIMEOUT}")
+            return NoAnswer(f"no answer within {timeout}")
         except Exception as e:
             return NoAnswer(f"{type(e).__name__}: {e}")
         finally:
-            if timeout.active():
-                timeout.cancel()
+            if timer.active():
+                timer.cancel()
 
     async def close(self) -> None:
         """Close the idle connections."""
--- a/laburnumhatch/standins/deployment.py
+++ b/laburnumhatch/standins/deployment.py
@@ -55,6 +55,11 @@
         """Where the routing files with this machine's ports are."""
         return self.processes.directory / "routing"
 
+    @property
+    def journal_path(self) -> Path:
+        """File that every target adds its runs to."""
+        return self.processes.directory / "runs.jsonl"
+
     @property
     def platform_url(self) -> str:
         """Base URL of the platform stand-in."""
@@ -213,6 +218,7 @@
 ) -> None:
     names = [server.name for server in file.targets.servers]
     arguments = ["standin", "service", str(path), "--any-port", "--work-ms", str(work_ms)]
+    arguments += ["--journal", str(deployment.journal_path)]
     shared = None if separate else deployment.processes.launch(file.service, *arguments)
     for name in names:
         child = shared or deployment.processes.launch(name, *arguments, "--target", name)
--- a/laburnumhatch/standins/upstream.py
+++ b/laburnumhatch/standins/upstream.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
+from typing import TextIO
 from urllib.parse import parse_qs
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -53,6 +54,8 @@
         Time that one request runs.
     honours_expiry : bool
         Whether grants end after their time; otherwise only tokens are compared.
+    journal : text file or None
+        Gets a line at the start and at the end of each run.
     """
 
     service: str
@@ -63,6 +66,7 @@
     cold_start: timedelta
     work: timedelta
     honours_expiry: bool
+    journal: TextIO | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +90,7 @@
         self.started = self.clock.now()
         self.queue = WorkQueue(self.options.slots, self.options.queue_limit)
         self.grants = GrantBook(self.clock, self.options.honours_expiry)
-        self.log = RunLog(self.clock)
+        self.log = RunLog(self.clock, self.options.journal)
         self.requests: dict[str, Deferred[bytes]] = {}
         self._thawed: list[Deferred[None]] = []
         self._idle: list[Callable[[], None]] = []
@@ -153,6 +157,7 @@
         await self.wait_while_frozen()
         refusal = self._refusal_on_arrival(request, arrived)
         if refusal is not None:
+            self.log.refuse(self._describe(request))
             return _refuse(request, refusal)
         await self.queue.enter()
         try:
@@ -184,6 +189,9 @@
             left = milliseconds(int(deadline)) - (self.clock.now() - arrived)
             if left < self._work_time(request):
                 return _shed("the deadline can't be met")
+        return self._fencing_refusal(request)
+
+    def _fencing_refusal(self, request: Request) -> _Refusal | None:
         if not self.options.checks_fencing:
             return None
         slot, epoch = _number(request, "ownership-slot"), _number(request, "fencing-token")
@@ -202,6 +210,11 @@
         try:
             await sleep(self.clock, to_milliseconds(self._work_time(request)))
             await self.wait_while_frozen()
+            refusal = self._fencing_refusal(request)
+            if refusal is not None:
+                # The grant ended under the run, whose effects are dropped.
+                self.log.end(run, "fenced")
+                return _refuse(request, refusal)
             answer = self._echo(request, run, count)
             body = await send_answer(request, answer, _answer_bytes(request), self._take_cut())
         except CancelledError:
