Move and extend ownership by leases under a coordinator

Cause: the thin version gave every instance a lease by reading the row and never moved a slot, so a lost server's keys stayed refused.

Now one instance per group is the coordinator: it renews its authority by linearizable reads, grants routing leases and server grants within it, and moves slots by a conditional write, then revocations, then a wait for acknowledgements or the end of every lease, earlier coordinators' included, then grants. Any instance takes over on short silence without a gap for unmoved slots. In a table outage the standby's consent extends the authority. The decisions are functions without input or output; a hypothesis state machine drives four instances through pauses, cuts, outages and lost and late replies and asserts that no slot has two owners.

Found by the machine while it was written: a second move of a slot whose first move still waits was released on its own, and its grant was sent without end (the later move now follows the earlier one).

--- a/laburnumhatch/ownership/grants.py
+++ b/laburnumhatch/ownership/grants.py
@@ -57,6 +57,10 @@
         Key hash and epoch.
     valid : timedelta or None
         How long the grants last, for servers that honour it.
+    version : int
+        Version of the row that the set was worked out from; not sent.
+    complete : bool
+        Whether `revoked` names all slots and keys that the server doesn't own; not sent.
     """
 
     granted: tuple[SlotRange, ...] = ()
@@ -64,6 +68,8 @@
     granted_keys: tuple[tuple[int, int], ...] = ()
     revoked_keys: tuple[tuple[int, int], ...] = ()
     valid: timedelta | None = None
+    version: int = 0
+    complete: bool = False
 
 
 def slot_ranges(slots: Iterable[tuple[int, int]]) -> tuple[SlotRange, ...]:
--- /dev/null
+++ b/laburnumhatch/ownership/group_driver.py
@@ -0,0 +1,259 @@
+"""Carries out the decisions about one group: table, links, servers and requests in flight."""
+
+from collections import deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import logbook
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from ..clocks import Cancellable, Clock, milliseconds
+from ..links.interfaces import Links
+from ..membership.interfaces import InstanceView
+from ..platform import Absent, Conflict, OutcomeUnknown, Row, Table, Written
+from ..routing import Service
+from .effects import (
+    AwaitDrain,
+    Drained,
+    Effect,
+    Event,
+    LeaseChanged,
+    MessageArrived,
+    ReadRow,
+    RowRead,
+    SendMessage,
+    ServerAnswered,
+    StopRequested,
+    TellServer,
+    Tick,
+    WriteAnswered,
+    WriteOutcome,
+    WriteRow,
+)
+from .flights import Flights
+from .grants import GrantAnswer, GrantSender
+from .group import handle_event
+from .lookup import EMPTY_LOOKUP, Lookup, build_lookup
+from .messages import OwnershipMessage
+from .row import GroupRow, InvalidRow, decode_row, encode_row
+from .slots import group_name
+from .state import GroupSetup, GroupState
+
+__all__ = ["GroupDriver", "GroupOutside"]
+
+TICK = milliseconds(100)
+HANDOVER_LIMIT = milliseconds(2000)
+STOP_POLL = milliseconds(50)
+
+_log = logbook.Logger("laburnumhatch.ownership")
+
+
+@dataclass(frozen=True, slots=True)
+class GroupOutside:
+    """What a group's driver works with."""
+
+    clock: Clock
+    table: Table
+    links: Links
+    instances: InstanceView
+    sender: GrantSender
+
+
+class GroupDriver:
+    """One group of slots at one instance.
+
+    Parameters
+    ----------
+    setup : GroupSetup
+    service : Service
+    outside : GroupOutside
+    on_tick : callable
+        Called with this driver after each tick.
+
+    Attributes
+    ----------
+    state : GroupState
+    lookup : Lookup
+        The present routing lease.
+    service : Service
+        Replaced when a new configuration comes into force.
+    flights : Flights
+    key : str
+        Key of the table row.
+    """
+
+    def __init__(
+        self,
+        setup: GroupSetup,
+        service: Service,
+        outside: GroupOutside,
+        on_tick: Callable[["GroupDriver"], None],
+    ) -> None:
+        self.service = service
+        self.state = GroupState(setup, tuple(target.name for target in service.targets))
+        self.lookup: Lookup = EMPTY_LOOKUP
+        self.flights = Flights(self._on_drained)
+        self._outside = outside
+        self._on_tick = on_tick
+        self.key = group_name(setup.service, setup.group)
+        self._events: deque[Event] = deque()
+        self._handling = False
+        self._timer: Cancellable | None = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._tick()
+
+    def use_service(self, service: Service) -> None:
+        """Take a new configuration of the service into force."""
+        self.service = service
+        self.state.servers = tuple(target.name for target in service.targets)
+
+    async def stop(self) -> None:
+        """Hand over, and take no further part."""
+        self.dispatch(StopRequested())
+        deadline = self._outside.clock.now() + HANDOVER_LIMIT
+        while self._is_handing_over() and self._outside.clock.now() < deadline:
+            pause: Deferred[None] = Deferred()
+            self._outside.clock.call_later(STOP_POLL, pause.callback, None)
+            await pause
+        self.cancel()
+
+    def cancel(self) -> None:
+        """Take no further part, without a handover."""
+        self._stopped = True
+        self.lookup = EMPTY_LOOKUP
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def receive(self, instance: str, message: OwnershipMessage) -> None:
+        """Take a message of another instance."""
+        self.dispatch(MessageArrived(instance, message))
+
+    def dispatch(self, event: Event) -> None:
+        """Take an event; events that come up meanwhile are taken after it, in order."""
+        if self._stopped:
+            return
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: Event) -> None:
+        was_coordinator = self.state.term is not None
+        try:
+            effects = handle_event(self.state, event, self._outside.clock.now())
+        except InvalidRow as e:
+            _log.error("{}: a message was dropped: {}", self.key, e)
+            return
+        if was_coordinator != (self.state.term is not None):
+            known = self.state.known
+            role = "ended being" if was_coordinator else "became"
+            _log.info("{}: {} the coordinator at row {}", self.key, role, known and known.version)
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case ReadRow():
+                self._begin(self._read())
+            case WriteRow():
+                self._begin(self._write(effect.row))
+            case SendMessage():
+                self._send(effect)
+            case TellServer():
+                self._begin(self._tell(effect))
+            case LeaseChanged():
+                self.lookup = build_lookup(self.state.setup.service, self.state.lease)
+            case AwaitDrain():
+                self.flights.wait(effect, self._is_covered)
+
+    def _begin(self, work: Coroutine[Any, Any, Event]) -> None:
+        done: Deferred[Any] = Deferred.fromCoroutine(work)
+        done.addCallback(self.dispatch)
+        done.addErrback(self._log_failure)
+
+    def _log_failure(self, failure: Failure) -> None:
+        _log.error("{}: {}", self.key, failure.getTraceback())
+
+    async def _read(self) -> Event:
+        sent = self._outside.clock.now()
+        answer = await self._outside.table.read(self.key)
+        if isinstance(answer, Absent):
+            return RowRead(sent, True)
+        if isinstance(answer, Row):
+            row = self._decoded(answer)
+            return RowRead(sent, row is not None, row)
+        return RowRead(sent, False)
+
+    async def _write(self, row: GroupRow) -> Event:
+        sent = self._outside.clock.now()
+        answer = await self._outside.table.write(
+            self.key, encode_row(row), row.version - 1, row.writer
+        )
+        if isinstance(answer, Written):
+            return WriteAnswered(row.writer, sent, WriteOutcome.WRITTEN)
+        if isinstance(answer, Conflict):
+            current = self._decoded(answer.current) if answer.current is not None else None
+            return WriteAnswered(row.writer, sent, WriteOutcome.CONFLICT, current)
+        if isinstance(answer, OutcomeUnknown):
+            return WriteAnswered(row.writer, sent, WriteOutcome.UNKNOWN)
+        return WriteAnswered(row.writer, sent, WriteOutcome.NOT_DONE)
+
+    def _decoded(self, row: Row) -> GroupRow | None:
+        try:
+            decoded = decode_row(row.value, row.version, row.writer)
+        except InvalidRow as e:
+            _log.error("row {} version {} can't be used: {}", row.key, row.version, e)
+            return None
+        if len(decoded.owners) != len(self.state.setup.slots):
+            expected = len(self.state.setup.slots)
+            _log.error("row {} has {} slots, not {}", row.key, len(decoded.owners), expected)
+            return None
+        return decoded
+
+    async def _tell(self, effect: TellServer) -> Event:
+        sent = self._outside.clock.now()
+        target = self.service.target(effect.server)
+        answer = GrantAnswer.UNKNOWN
+        if target is not None:
+            answer = await self._outside.sender.send(self.service.name, target, effect.grants)
+        return ServerAnswered(effect.server, sent, effect.grants, answer)
+
+    def _send(self, effect: SendMessage) -> None:
+        if effect.instance == self.state.setup.instance:
+            self._events.append(MessageArrived(effect.instance, effect.message))
+            return
+        self._outside.links.send(effect.instance, effect.message)
+
+    def _on_drained(self, drain: AwaitDrain) -> None:
+        self.dispatch(Drained(drain.version, drain.coordinator))
+
+    def _is_covered(self, key_hash: int, slot: int, epoch: int) -> bool:
+        return self.lookup.covers(key_hash, slot, epoch)
+
+    def _is_handing_over(self) -> bool:
+        return self.state.term is not None and bool(self._live_peers())
+
+    def _live_peers(self) -> dict[str, str]:
+        own = self.state.setup.instance
+        peers = dict.fromkeys(self._outside.links.connected(), "")
+        peers.update((i.name, i.data_centre) for i in self._outside.instances.live())
+        peers.pop(own, None)
+        return peers
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        self._timer = self._outside.clock.call_later(TICK, self._tick)
+        self.state.peers = self._live_peers()
+        self.dispatch(Tick())
+        self._on_tick(self)
--- a/laburnumhatch/ownership/keeper.py
+++ b/laburnumhatch/ownership/keeper.py
@@ -1,32 +1,34 @@
 """The ownership of all services, as one entry instance keeps it."""
 
+import secrets
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
-import logbook
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import DeferredList, ensureDeferred
 
-from ..clocks import Cancellable, Clock, milliseconds
+from ..clocks import Clock
 from ..links.interfaces import Links
 from ..membership.interfaces import InstanceView, TargetView
 from ..planning.interfaces import Move, PlanningView
-from ..platform import Absent, Conflict, Row, Table, Written
+from ..platform import Table
 from ..results import ResultCode
-from ..routing import Ownership, Service, Snapshot
-from .grants import GrantSender, GrantSet, slot_ranges
+from ..routing import Service, Snapshot
+from .explanation import describe_group, describe_key
+from .grants import GrantSender
+from .group_driver import GroupDriver, GroupOutside
+from .lookup import RETRY_AFTER
+from .messages import OWNERSHIP_MESSAGES, OwnershipMessage
 from .owner import NoOwner, Owner
-from .row import FIRST_EPOCH, GroupRow, InvalidRow, decode_row, encode_row, initial_owners
-from .slots import group_name, hash_key, slot_of_hash
+from .planned_group import PlannedGroup
+from .slots import hash_key, slot_of_hash
+from .state import GroupSetup
 
 __all__ = ["OwnershipKeeper"]
 
 Plan = Callable[[PlanningView], tuple[Move, ...]]
-
-READ_INTERVAL = milliseconds(500)
-LEASE = milliseconds(1500)
-
-_log = logbook.Logger("ownership")
+INCARNATION_BYTES = 4
 
 
 class OwnershipKeeper:
@@ -46,6 +48,11 @@
     targets : TargetView
     plan : callable
         Takes a `PlanningView` and returns the moves to make.
+
+    Notes
+    -----
+    `owner_of` and `is_current` stand in the path of every request. Both cost a few dictionary and
+    array accesses, whatever the number of slots.
     """
 
     def __init__(
@@ -61,153 +68,192 @@
         plan: Plan,
     ) -> None:
         self._clock = clock
-        self._name = name
-        self._table = table
-        self._sender = GrantSender(reactor, clock)
-        self._groups: dict[str, _StaticGroup] = {}
+        self._member = f"{name}/{secrets.token_hex(INCARNATION_BYTES)}"
+        self._data_centre = data_centre
+        self._targets = targets
+        self._plan = plan
+        sender = GrantSender(reactor, clock)
+        self._outside = GroupOutside(clock, table, links, instances, sender)
+        self._services: dict[str, _ServiceGroups] = {}
         self._running = False
+        for message_type in OWNERSHIP_MESSAGES:
+            links.handle(message_type, self._receive)
 
     def use_snapshot(self, snapshot: Snapshot) -> None:
         """Keep the owned services of `snapshot` from now on, and no others."""
         owned = {s.name: s for s in snapshot.services if s.ownership is not None}
-        for name in set(self._groups) - set(owned):
-            self._groups.pop(name).stop()
+        for name in set(self._services) - set(owned):
+            self._services.pop(name).cancel()
         for service in owned.values():
-            if service.name not in self._groups:
-                self._groups[service.name] = self._new_group(service)
+            present = self._services.get(service.name)
+            if present is not None and present.takes(service):
+                present.use_service(service)
+                continue
+            if present is not None:
+                present.cancel()
+            self._services[service.name] = self._new_groups(service)
 
     def start(self) -> None:
         """Begin to take part."""
         self._running = True
-        for group in self._groups.values():
-            group.start()
+        for groups in self._services.values():
+            groups.start()
 
     async def stop(self) -> None:
         """Hand over what this instance coordinates, and give up its leases."""
         self._running = False
-        for group in self._groups.values():
-            group.stop()
+        stops = [groups.stop() for groups in self._services.values()]
+        await DeferredList([ensureDeferred(stop) for stop in stops])
 
     def owner_of(self, service: str, key: str) -> Owner | NoOwner:
         """Return the owner of a key as of now."""
-        group = self._groups.get(service)
-        if group is None:
+        groups = self._services.get(service)
+        if groups is None:
             return NoOwner(ResultCode.NO_OWNER, f"service {service} has no owned keys")
-        return group.owner_of(hash_key(service, key), self._clock.now())
+        return groups.owner_of(hash_key(service, key), self._clock.now())
 
     def is_current(self, owner: Owner) -> bool:
         """Return whether a request may still go out under `owner`."""
-        return self._clock.now() < owner.expires
+        group = self._group_of(owner.service, owner.slot)
+        return group is not None and group.lookup.is_current(owner, self._clock.now())
 
     def request_started(self, owner: Owner) -> None:
         """Note that a request under `owner` is in flight."""
+        group = self._group_of(owner.service, owner.slot)
+        if group is not None:
+            group.flights.start(owner)
 
     def request_ended(self, owner: Owner) -> None:
         """Note that the upstream can no longer be running the request."""
+        group = self._group_of(owner.service, owner.slot)
+        if group is not None:
+            group.flights.end(owner)
+
+    def note_work(self, owner: Owner, key: str, work: timedelta) -> None:
+        """Count the server's work on an answered request, for the planner.
+
+        Parameters
+        ----------
+        owner : Owner
+        key : str
+        work : timedelta
+            Time from the send to the answer.
+        """
+        groups = self._services.get(owner.service)
+        if groups is not None:
+            groups.planned_of(owner.slot).note_work(owner, work)
 
     def describe(self, service: str, key: str) -> dict[str, Any]:
         """Return what is known of a key's owner, for the operators."""
-        answer = self.owner_of(service, key)
-        if isinstance(answer, NoOwner):
-            return {"service": service, "key": key, "owner": None, "why": answer.detail}
-        row = self._groups[service].row
-        return {
-            "service": service,
-            "key": key,
-            "slot": answer.slot,
-            "owner": answer.server,
-            "epoch": answer.epoch,
-            "coordinator": row.coordinator if row else None,
-            "row_version": row.version if row else 0,
-        }
+        groups = self._services.get(service)
+        if groups is None:
+            return {"service": service, "key": key, "owner": None, "why": "no owned keys"}
+        key_hash = hash_key(service, key)
+        group = groups.driver_of(groups.slot_of(key_hash))
+        described = describe_key(group, key_hash, groups.slot_of(key_hash), self._clock.now())
+        return {"service": service, "key": key, **described}
 
     def status(self) -> dict[str, Any]:
         """Return the state of each group, for the operators."""
+        now = self._clock.now()
         return {
-            service: {
-                "coordinator": group.row.coordinator if group.row else None,
-                "row_version": group.row.version if group.row else 0,
-            }
-            for service, group in self._groups.items()
+            driver.key: describe_group(driver, now)
+            for groups in self._services.values()
+            for driver in groups.drivers
         }
 
-    def _new_group(self, service: Service) -> "_StaticGroup":
-        group = _StaticGroup(service, self._name, self._clock, self._table, self._sender)
+    def _receive(self, instance: str, message: OwnershipMessage) -> None:
+        groups = self._services.get(message.service)
+        if groups is not None and 0 <= message.group < len(groups.planned):
+            groups.planned[message.group].receive(instance, message)
+
+    def _group_of(self, service: str, slot: int) -> GroupDriver | None:
+        groups = self._services.get(service)
+        return None if groups is None else groups.driver_of(slot)
+
+    def _new_groups(self, service: Service) -> "_ServiceGroups":
+        new_planned = partial(PlannedGroup, targets=self._targets, plan=self._plan)
+        groups = _ServiceGroups(
+            service, self._member, self._data_centre, self._outside, new_planned
+        )
         if self._running:
-            group.start()
-        return group
+            groups.start()
+        return groups
 
 
-class _StaticGroup:
-    """One service's slots, as first assigned."""
+class _ServiceGroups:
+    """The groups of one service's slots."""
 
     def __init__(
-        self, service: Service, name: str, clock: Clock, table: Table, sender: GrantSender
+        self,
+        service: Service,
+        member: str,
+        data_centre: str,
+        outside: GroupOutside,
+        new_planned: Callable[..., PlannedGroup],
     ) -> None:
-        self.row: GroupRow | None = None
-        self._service = service
-        self._name = name
-        self._clock = clock
-        self._table = table
-        self._sender = sender
-        self._expires = timedelta()
-        self._timer: Cancellable | None = None
+        ownership = service.ownership
+        assert ownership is not None
+        self.slot_count = ownership.slot_count
+        self._size = ownership.slot_count // ownership.group_count
+        self._ownership = ownership
+        self.planned = [
+            new_planned(
+                GroupSetup(
+                    service=service.name,
+                    group=group,
+                    slots=range(group * self._size, (group + 1) * self._size),
+                    checks_fencing=ownership.checks_fencing,
+                    member=member,
+                    data_centre=data_centre,
+                ),
+                service,
+                outside,
+            )
+            for group in range(ownership.group_count)
+        ]
+        self.drivers = [planned.driver for planned in self.planned]
+
+    def takes(self, service: Service) -> bool:
+        """Return whether `service` differs in nothing that the groups depend on."""
+        ownership = service.ownership
+        assert ownership is not None
+        present = self._ownership
+        return (
+            ownership.slot_count == present.slot_count
+            and ownership.group_count == present.group_count
+            and ownership.checks_fencing == present.checks_fencing
+        )
+
+    def use_service(self, service: Service) -> None:
+        for driver in self.drivers:
+            driver.use_service(service)
 
     def start(self) -> None:
-        ensureDeferred(self._refresh())
+        for driver in self.drivers:
+            driver.start()
+
+    def cancel(self) -> None:
+        for driver in self.drivers:
+            driver.cancel()
+
+    async def stop(self) -> None:
+        stops = [ensureDeferred(driver.stop()) for driver in self.drivers]
+        await DeferredList(stops)
+
+    def slot_of(self, key_hash: int) -> int:
+        return slot_of_hash(key_hash, self.slot_count)
+
+    def planned_of(self, slot: int) -> PlannedGroup:
+        return self.planned[slot // self._size]
 
-    def stop(self) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+    def driver_of(self, slot: int) -> GroupDriver:
+        return self.drivers[slot // self._size]
 
     def owner_of(self, key_hash: int, now: timedelta) -> Owner | NoOwner:
-        if self.row is None or now >= self._expires:
-            return NoOwner(ResultCode.LEASE_EXPIRED, "the instance holds no lease", READ_INTERVAL)
-        slot = slot_of_hash(key_hash, len(self.row.owners))
-        server = self.row.servers[self.row.owners[slot]]
-        return Owner(self._service.name, slot, server, self.row.epochs[slot], self._expires)
-
-    async def _refresh(self) -> None:
-        sent = self._clock.now()
-        key = group_name(self._service.name, 0)
-        answer = await self._table.read(key)
-        if isinstance(answer, Absent):
-            await self._create(key)
-        elif isinstance(answer, Row):
-            await self._adopt(answer, sent)
-        self._timer = self._clock.call_later(READ_INTERVAL, lambda: ensureDeferred(self._refresh()))
-
-    async def _create(self, key: str) -> None:
-        ownership = self._service.ownership
-        assert isinstance(ownership, Ownership)
-        servers = tuple(target.name for target in self._service.targets)
-        slots = range(ownership.slot_count)
-        owners = initial_owners(self._service.name, slots, servers)
-        epochs = (FIRST_EPOCH,) * len(slots)
-        row = GroupRow(1, self._name, (), 0, servers, owners, epochs)
-        answer = await self._table.write(key, encode_row(row), 0, self._name)
-        if isinstance(answer, Written | Conflict):
-            sent = self._clock.now()
-            current = await self._table.read(key)
-            if isinstance(current, Row):
-                await self._adopt(current, sent)
-
-    async def _adopt(self, found: Row, sent: timedelta) -> None:
-        try:
-            row = decode_row(found.value, found.version, found.writer)
-        except InvalidRow as e:
-            _log.error("row {} is unusable: {}", found.key, e)
-            return
-        self._expires = sent + LEASE
-        first = self.row is None
-        self.row = row
-        if first:
-            for index, server in enumerate(row.servers):
-                await self._grant(row, index, server)
-
-    async def _grant(self, row: GroupRow, index: int, server: str) -> None:
-        target = self._service.target(server)
-        if target is None:
-            return
-        slots = [(s, row.epochs[s]) for s, owner in enumerate(row.owners) if owner == index]
-        await self._sender.send(self._service.name, target, GrantSet(slot_ranges(slots)))
+        slot = slot_of_hash(key_hash, self.slot_count)
+        driver = self.drivers[slot // self._size]
+        if not driver.lookup.servers:
+            detail = "the instance holds no lease on the key's owner yet"
+            return NoOwner(ResultCode.LEASE_EXPIRED, detail, RETRY_AFTER)
+        return driver.lookup.owner_of(key_hash, slot, now)
--- a/laburnumhatch/ownership/messages.py
+++ b/laburnumhatch/ownership/messages.py
@@ -1,5 +1,268 @@
 """Messages between entry instances about ownership."""
 
-__all__ = ["OWNERSHIP_MESSAGES"]
+from dataclasses import dataclass
+from datetime import timedelta
 
-OWNERSHIP_MESSAGES: tuple[type, ...] = ()
+__all__ = [
+    "Consent",
+    "ConsentRequest",
+    "CoordinatorNotice",
+    "Handover",
+    "KeyLoad",
+    "LeaseGrant",
+    "LeaseOffer",
+    "LeaseRefusal",
+    "LeaseRequest",
+    "LoadReport",
+    "OWNERSHIP_MESSAGES",
+    "OwnershipMessage",
+    "PromiseQuery",
+    "PromiseReply",
+    "Revocation",
+    "RevocationAck",
+    "RowCopy",
+    "SlotLoad",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RowCopy:
+    """A group's row as read from the table."""
+
+    version: int
+    writer: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OwnershipMessage:
+    """What every message carries.
+
+    Attributes
+    ----------
+    service : str
+    group : int
+    member : str
+        The sender, as ``NAME/INCARNATION``.
+    """
+
+    service: str
+    group: int
+    member: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRequest(OwnershipMessage):
+    """An entry instance asks for a routing lease.
+
+    Attributes
+    ----------
+    number : int
+        Repeated in the answer.
+    version : int
+        Version of the row that the instance already has.
+    acked : int
+        No request of the instance runs under an owner from before this version.
+    """
+
+    number: int
+    version: int
+    acked: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant(OwnershipMessage):
+    """A coordinator grants a routing lease.
+
+    Attributes
+    ----------
+    number : int
+    version : int
+        Version of the row that the lease is for.
+    valid : timedelta
+        Counted from when the request was sent.
+    closed_slots, closed_keys : tuple of int
+        Slots and key hashes that are moving; the lease does not cover them.
+    row : RowCopy or None
+        Present where the instance has another version.
+    """
+
+    number: int
+    version: int
+    valid: timedelta
+    closed_slots: tuple[int, ...]
+    closed_keys: tuple[int, ...]
+    row: RowCopy | None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRefusal(OwnershipMessage):
+    """An instance that grants nothing tells what it knows of the coordinator.
+
+    Attributes
+    ----------
+    number : int
+    coordinator_heard : bool
+        Whether the sender had word from `coordinator` lately.
+    coordinator : str
+        Coordinator in the latest row that the sender knows; empty for none.
+    row : RowCopy or None
+        That row, where the instance that asked has another.
+    """
+
+    number: int
+    coordinator_heard: bool
+    coordinator: str
+    row: RowCopy | None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseOffer(OwnershipMessage):
+    """Slots that were moving are served again under a new lease.
+
+    Attributes
+    ----------
+    version : int
+        Version of the row that the lease is for.
+    """
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinatorNotice(OwnershipMessage):
+    """A new coordinator makes itself known."""
+
+    row: RowCopy
+
+
+@dataclass(frozen=True, slots=True)
+class Revocation(OwnershipMessage):
+    """Nothing may be sent any more to the owners that these slots and keys had before."""
+
+    version: int
+    slots: tuple[int, ...]
+    keys: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RevocationAck(OwnershipMessage):
+    """The revocation with `version` is obeyed and nothing runs under the former owners."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConsentRequest(OwnershipMessage):
+    """A coordinator that can't reach the table asks a standby to move nothing.
+
+    Attributes
+    ----------
+    standby : str
+        Member that is asked.
+    number : int
+    version : int
+        Latest version of the row that the coordinator knows to have written.
+    unresolved : bool
+        Whether a further write of the coordinator may have taken effect.
+    """
+
+    standby: str
+    number: int
+    version: int
+    unresolved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Consent(OwnershipMessage):
+    """A standby's answer to a `ConsentRequest`."""
+
+    number: int
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseQuery(OwnershipMessage):
+    """A new coordinator that was no standby asks a former standby what it promised.
+
+    Attributes
+    ----------
+    standby : str
+        Member named in the former row.
+    row : RowCopy
+        The new coordinator's row.
+    """
+
+    standby: str
+    row: RowCopy
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseReply(OwnershipMessage):
+    """Time until the last promise ends; no promise to an earlier coordinator will follow.
+
+    Attributes
+    ----------
+    version : int
+        Version of the row in the query.
+    remaining : timedelta
+    """
+
+    version: int
+    remaining: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Handover(OwnershipMessage):
+    """A coordinator that stops asks another instance to take over at once."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotLoad:
+    """Load of a slot in seconds of server work a second."""
+
+    slot: int
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLoad:
+    """Load of a key in seconds of server work a second."""
+
+    key_hash: int
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport(OwnershipMessage):
+    """Load that one entry instance put on the slots of a group.
+
+    Attributes
+    ----------
+    slots : tuple of SlotLoad
+        Slots with load, keys with an owner of their own left out.
+    keys : tuple of KeyLoad
+        The hottest keys.
+    """
+
+    slots: tuple[SlotLoad, ...]
+    keys: tuple[KeyLoad, ...]
+
+
+OWNERSHIP_MESSAGES: tuple[type, ...] = (
+    Consent,
+    ConsentRequest,
+    CoordinatorNotice,
+    Handover,
+    LeaseGrant,
+    LeaseRefusal,
+    LeaseRequest,
+    LoadReport,
+    PromiseQuery,
+    PromiseReply,
+    Revocation,
+    RevocationAck,
+    LeaseOffer,
+)
--- a/laburnumhatch/ownership/owner.py
+++ b/laburnumhatch/ownership/owner.py
@@ -22,7 +22,10 @@
     epoch : int
         The fencing token; grows with every change of the slot's owner.
     expires : timedelta
-        Instant of the instance's clock at which the lease ends.
+        Instant of the instance's clock at which the lease ends. A lease is renewed long before;
+        look the owner up again to see whether the same epoch holds for longer.
+    key_hash : int
+        Hash of the key that was looked up.
     """
 
     service: str
@@ -30,6 +33,7 @@
     server: str
     epoch: int
     expires: timedelta
+    key_hash: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/laburnumhatch/ownership/planned_group.py
@@ -0,0 +1,121 @@
+"""One group with its measured load and its planner."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..membership.interfaces import TargetState, TargetView
+from ..planning.interfaces import Move, PlanningView
+from ..planning.load import LoadMeter
+from ..routing import Service
+from .effects import MovesPlanned
+from .group_driver import GroupDriver, GroupOutside
+from .group_load import GatheredLoad, load_message
+from .messages import LoadReport, OwnershipMessage
+from .moving import may_write
+from .owner import Owner
+from .planning_view import build_planning_view, lost_servers, server_names
+from .state import LONG_AGO, GroupSetup, instance_of
+
+__all__ = ["PlannedGroup"]
+
+PLAN_INTERVAL = timedelta(milliseconds=500)
+REPORT_INTERVAL = timedelta(seconds=1)
+
+
+class PlannedGroup:
+    """A group's driver, its load, and the moves that the planner asks of its coordinator.
+
+    Parameters
+    ----------
+    setup : GroupSetup
+    service : Service
+    outside : GroupOutside
+    targets : TargetView
+    plan : callable
+        Takes a `PlanningView` and returns the moves to make.
+
+    Attributes
+    ----------
+    driver : GroupDriver
+    """
+
+    def __init__(
+        self,
+        setup: GroupSetup,
+        service: Service,
+        outside: GroupOutside,
+        *,
+        targets: TargetView,
+        plan: Callable[[PlanningView], tuple[Move, ...]],
+    ) -> None:
+        assert service.ownership is not None
+        self.driver = GroupDriver(setup, service, outside, self._on_tick)
+        self._outside = outside
+        self._targets = targets
+        self._plan = plan
+        self._slot_count = service.ownership.slot_count
+        self._meter = LoadMeter(clock=outside.clock, slot_count=self._slot_count)
+        self._load = GatheredLoad(outside.clock)
+        self._planned = LONG_AGO
+        self._reported = LONG_AGO
+        self._states: tuple[TargetState, ...] = ()
+
+    def receive(self, instance: str, message: OwnershipMessage) -> None:
+        """Take a message of another instance."""
+        if isinstance(message, LoadReport):
+            self._load.take(message)
+            return
+        self.driver.receive(instance, message)
+
+    def note_work(self, owner: Owner, work: timedelta) -> None:
+        """Count a server's work on a request."""
+        self._meter.record(slot=owner.slot, key_hash=owner.key_hash, work=work.total_seconds())
+
+    def _on_tick(self, driver: GroupDriver) -> None:
+        now = self._outside.clock.now()
+        if now - self._reported >= REPORT_INTERVAL:
+            self._reported = now
+            self._report_load()
+        states = self._target_states()
+        if now - self._planned >= PLAN_INTERVAL or states != self._states:
+            self._planned = now
+            self._states = states
+            self._plan_moves(now)
+
+    def _target_states(self) -> tuple[TargetState, ...]:
+        service = self.driver.service
+        return tuple(self._targets.state(service.name, t.name) for t in service.targets)
+
+    def _report_load(self) -> None:
+        state = self.driver.state
+        message = load_message(state.setup, self._meter)
+        if state.known is None:
+            return
+        coordinator = instance_of(state.known.coordinator)
+        if coordinator == state.setup.instance:
+            self._load.take(message)
+        else:
+            self._outside.links.send(coordinator, message)
+
+    def _plan_moves(self, now: timedelta) -> None:
+        state = self.driver.state
+        term = state.term
+        row = state.known
+        if term is None or row is None or not may_write(state, now):
+            return
+        service = self.driver.service
+        names = server_names(service, row)
+        since_last_move = now - max(term.moved, term.started)
+        view = build_planning_view(
+            service,
+            self._slot_count,
+            row,
+            names,
+            self._targets,
+            self._load.total(),
+            since_last_move,
+        )
+        moves = self._plan(view)
+        if moves:
+            lost = lost_servers(service, names, self._targets)
+            self.driver.dispatch(MovesPlanned(names, moves, lost))
--- /dev/null
+++ b/laburnumhatch/ownership/routing_lease.py
@@ -0,0 +1,150 @@
+"""The routing lease of an entry instance."""
+
+from datetime import timedelta
+
+from .authority import lease_end
+from .effects import AwaitDrain, Drained, Effect, LeaseChanged, SendMessage
+from .messages import (
+    CoordinatorNotice,
+    LeaseGrant,
+    LeaseOffer,
+    LeaseRefusal,
+    LeaseRequest,
+    Revocation,
+    RevocationAck,
+)
+from .state import LONG_AGO, GroupState, RoutingLease, instance_of
+from .writes import learn_row_of_peer, row_of_copy
+
+__all__ = [
+    "on_coordinator_notice",
+    "on_drained",
+    "on_lease_grant",
+    "on_lease_offer",
+    "on_lease_refusal",
+    "on_revocation",
+    "pull_lease",
+]
+
+# Requests that went unanswered and are still remembered.
+REMEMBERED_REQUESTS = 16
+
+
+def pull_lease(state: GroupState, now: timedelta) -> list[Effect]:
+    """Ask the coordinator for a lease, and another instance too while it is silent."""
+    lease = state.lease
+    timing = state.setup.timing
+    if now - lease.pulled < timing.pull_interval:
+        return []
+    lease.pulled = now
+    known = state.known
+    names = [] if known is None else [instance_of(known.coordinator)]
+    if known is None or now - state.candidate.heard > timing.pull_interval * 2:
+        others = sorted(set(state.peers) - set(names))
+        if others:
+            names.append(others[lease.number % len(others)])
+    lease.number += 1
+    lease.sent[lease.number] = now
+    for number in [n for n in lease.sent if n <= lease.number - REMEMBERED_REQUESTS]:
+        del lease.sent[number]
+    setup = state.setup
+    version = lease.row.version if lease.row is not None else 0
+    request = LeaseRequest(
+        setup.service, setup.group, setup.member, lease.number, version, lease.acked
+    )
+    return [SendMessage(name, request) for name in names]
+
+
+def on_lease_grant(state: GroupState, message: LeaseGrant, now: timedelta) -> list[Effect]:
+    """Adopt a lease, unless it is older than what is already known."""
+    lease = state.lease
+    sent = lease.sent.get(message.number)
+    if message.row is not None:
+        learn_row_of_peer(state, message.row, now)
+    _note_heard(state, message.member, now)
+    if sent is None or message.version < lease.floor:
+        return []
+    if message.version == lease.floor and message.number <= lease.applied:
+        return []
+    if not _has_row(lease, message):
+        lease.pulled = LONG_AGO
+        return []
+    lease.applied = message.number
+    newer = message.version > lease.acked
+    lease.floor = message.version
+    lease.closed_slots = set(message.closed_slots)
+    lease.closed_keys = set(message.closed_keys)
+    base = sent if state.setup.rules.count_from_sending else now
+    lease.expires = lease_end(base, message.valid, state.setup.timing)
+    effects: list[Effect] = [LeaseChanged()]
+    if newer:
+        effects.append(AwaitDrain(message.version))
+    return effects
+
+
+def _has_row(lease: RoutingLease, message: LeaseGrant) -> bool:
+    if message.row is not None:
+        lease.row = row_of_copy(message.row)
+    return lease.row is not None and lease.row.version == message.version
+
+
+def on_revocation(state: GroupState, instance: str, message: Revocation) -> list[Effect]:
+    """Stop routing to former owners."""
+    lease = state.lease
+    if lease.row is not None and lease.row.version >= message.version:
+        return []
+    lease.floor = max(lease.floor, message.version)
+    lease.closed_slots.update(message.slots)
+    lease.closed_keys.update(message.keys)
+    drain = AwaitDrain(message.version, instance)
+    return [LeaseChanged(), drain]
+
+
+def on_drained(state: GroupState, event: Drained) -> list[Effect]:
+    """Acknowledge that nothing runs any more under the former owners."""
+    if not event.coordinator:
+        state.lease.acked = max(state.lease.acked, event.version)
+        state.lease.pulled = LONG_AGO
+        return []
+    setup = state.setup
+    ack = RevocationAck(setup.service, setup.group, setup.member, event.version)
+    return [SendMessage(event.coordinator, ack)]
+
+
+def on_lease_refusal(state: GroupState, message: LeaseRefusal, now: timedelta) -> list[Effect]:
+    """Learn of the coordinator from an instance that grants nothing."""
+    if message.row is not None:
+        learn_row_of_peer(state, message.row, now)
+    known = state.known
+    if known is None:
+        return []
+    if message.member == known.coordinator:
+        state.candidate.heard = now
+    elif message.coordinator_heard and message.coordinator == known.coordinator:
+        state.candidate.heard_by_others = now
+    return []
+
+
+def on_lease_offer(state: GroupState, message: LeaseOffer, now: timedelta) -> list[Effect]:
+    """Ask for a new lease at once."""
+    if message.version < state.lease.floor:
+        return []
+    state.lease.pulled = LONG_AGO
+    return pull_lease(state, now)
+
+
+def on_coordinator_notice(
+    state: GroupState, message: CoordinatorNotice, now: timedelta
+) -> list[Effect]:
+    """Turn to a new coordinator."""
+    learn_row_of_peer(state, message.row, now)
+    _note_heard(state, message.member, now)
+    state.lease.pulled = LONG_AGO
+    return pull_lease(state, now)
+
+
+def _note_heard(state: GroupState, member: str, now: timedelta) -> None:
+    known = state.known
+    if known is not None and member == known.coordinator:
+        state.candidate.heard = now
+        state.candidate.invited = LONG_AGO if state.term else state.candidate.invited
--- a/laburnumhatch/ownership/row.py
+++ b/laburnumhatch/ownership/row.py
@@ -1,12 +1,10 @@
 """The table row of a group of slots, and its encoding."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
 import msgpack
-import xxhash
 
 from ..clocks import milliseconds, to_milliseconds
 
@@ -33,6 +31,7 @@
     """Owner of a single key that has left its slot's owner."""
 
     key_hash: int
+    slot: int
     server: int
     epoch: int
 
@@ -117,7 +116,7 @@
         "servers": row.servers,
         "owners": row.owners,
         "epochs": row.epochs,
-        "keys": [(k.key_hash, k.server, k.epoch) for k in row.keys],
+        "keys": [(k.key_hash, k.slot, k.server, k.epoch) for k in row.keys],
         "unsettled": row.unsettled,
         "debt_ms": to_milliseconds(row.debt),
         "history": [
@@ -160,46 +159,17 @@
         raise InvalidRow(f"not an ownership row: {type(e).__name__}: {e}") from e
 
 
-def initial_owners(service: str, slots: range, servers: Sequence[str]) -> tuple[int, ...]:
-    """Return the first owner of each slot by rendezvous hashing.
-
-    Parameters
-    ----------
-    service : str
-    slots : range
-    servers : sequence of str
-
-    Returns
-    -------
-    tuple of int
-        Index in `servers` for each slot.
+def initial_owners(slot_count: int, server_count: int) -> tuple[int, ...]:
+    """Return the first owner of each slot, in blocks of equal size.
 
     Notes
     -----
-    Each slot goes to the server whose hash with the slot is highest among the servers with the
-    fewest slots so far, so that the numbers of slots differ by at most one. The cost is the
-    product of slots and servers.
-
-    References
-    ----------
-    .. [1] D. G. Thaler and C. V. Ravishankar, "Using name-based mappings to increase hit rates",
-       IEEE/ACM Transactions on Networking 6(1), 1998.
+    Keys are spread over slots by their hash, so blocks share the keys as evenly as any other
+    assignment, and grants name few ranges.
 
     Examples
     --------
-    >>> sorted(initial_owners("s", range(4), ["a", "b"]))
-    [0, 0, 1, 1]
+    >>> initial_owners(4, 2)
+    (0, 0, 1, 1)
     """
-    counts = [0] * len(servers)
-    owners = []
-    for slot in slots:
-        fewest = min(counts)
-        candidates = (i for i, count in enumerate(counts) if count == fewest)
-        chosen = max(candidates, key=lambda i: _weight(service, slot, servers[i]))
-        counts[chosen] += 1
-        owners.append(chosen)
-    return tuple(owners)
-
-
-def _weight(service: str, slot: int, server: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{service}\0{slot}\0{server}".encode())
+    return tuple(slot * server_count // slot_count for slot in range(slot_count))
--- /dev/null
+++ b/laburnumhatch/ownership/standby.py
@@ -0,0 +1,75 @@
+"""Promises of a standby to move nothing."""
+
+from datetime import timedelta
+
+from .effects import Effect, ReadRow, SendMessage
+from .messages import Consent, ConsentRequest, PromiseQuery, PromiseReply
+from .state import GroupState
+from .writes import learn_row_of_peer
+
+__all__ = ["on_consent_request", "on_promise_query"]
+
+NOTHING = timedelta()
+
+
+def on_consent_request(
+    state: GroupState, instance: str, message: ConsentRequest, now: timedelta
+) -> list[Effect]:
+    """Promise a coordinator to move nothing for a while, or refuse.
+
+    Notes
+    -----
+    The promise does not stop this instance from taking over; it then waits for the promise to end
+    before it grants what it moves. An unresolved takeover refuses, since its wait was already
+    worked out.
+    """
+    if message.standby != state.setup.member:
+        return []
+    timing = state.setup.timing
+    granted = state.write is None and not _knows_later(state, message)
+    effects: list[Effect] = []
+    if granted:
+        state.promised = max(state.promised, now + timing.awaited(timing.promise))
+        effects = _look_whether_isolated(state, now)
+    answer = Consent(message.service, message.group, state.setup.member, message.number, granted)
+    return [SendMessage(instance, answer), *effects]
+
+
+def _knows_later(state: GroupState, message: ConsentRequest) -> bool:
+    known = state.known
+    if known is None or not state.setup.rules.refuse_older_versions:
+        return False
+    return known.version > message.version and known.coordinator != message.member
+
+
+def _look_whether_isolated(state: GroupState, now: timedelta) -> list[Effect]:
+    candidate = state.candidate
+    timing = state.setup.timing
+    if now - candidate.consented > timing.renew_interval * 3:
+        candidate.consenting_since = now
+    candidate.consented = now
+    if now - candidate.consenting_since <= timing.isolation:
+        return []
+    if now - candidate.tried < timing.retry:
+        return []
+    candidate.tried = now
+    return [ReadRow()]
+
+
+def on_promise_query(
+    state: GroupState, instance: str, message: PromiseQuery, now: timedelta
+) -> list[Effect]:
+    """Tell a new coordinator when the last promise to its predecessors ends.
+
+    Having learnt the new row, this instance consents to no earlier one any more. An instance that
+    was started anew answers for its former process, whose last promise it doesn't know.
+    """
+    learn_row_of_peer(state, message.row, now)
+    timing = state.setup.timing
+    remaining = max(NOTHING, state.promised - now)
+    if message.standby != state.setup.member:
+        remaining = timing.promise
+    reply = PromiseReply(
+        message.service, message.group, state.setup.member, message.row.version, remaining
+    )
+    return [SendMessage(instance, reply)]
--- /dev/null
+++ b/laburnumhatch/ownership/tests/protocol_world.py
@@ -0,0 +1,308 @@
+"""Several instances' decisions about one group, with a table, links and servers that fail."""
+
+from collections import deque
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+from ...clocks import milliseconds
+from ...planning.interfaces import Move
+from ..effects import (
+    AwaitDrain,
+    Drained,
+    LeaseChanged,
+    MessageArrived,
+    MovesPlanned,
+    ReadRow,
+    RowRead,
+    SendMessage,
+    ServerAnswered,
+    StopRequested,
+    TellServer,
+    Tick,
+    WriteAnswered,
+    WriteOutcome,
+    WriteRow,
+)
+from ..grants import GrantAnswer
+from ..group import handle_event
+from ..rules import Rules
+from ..state import GroupSetup, GroupState
+from ..timing import LeaseTiming
+
+STEP = milliseconds(100)
+SLOTS = range(2)
+SERVERS = ("s0", "s1", "s2")
+NAMES = ("a", "b", "c", "d")
+TIMING = LeaseTiming(hold_cap=timedelta(seconds=6), drift=0.0)
+
+
+class OwnersOverlap(AssertionError):
+    """Two servers may act as owner of one slot at one instant."""
+
+
+@dataclass
+class Node:
+    """One instance; what reaches it while it is paused waits in `inbox`."""
+
+    state: GroupState
+    paused: bool = False
+    table_cut: bool = False
+    lose_replies: int = 0
+    hold_writes: int = 0
+    hold_reads: int = 0
+    inbox: deque = field(default_factory=deque)
+
+
+@dataclass
+class Server:
+    """An upstream that honours expiry and refuses grants older than it has seen."""
+
+    alive: bool = True
+    frozen: bool = False
+    seen: dict = field(default_factory=dict)
+    held: dict = field(default_factory=dict)
+
+
+class World:
+    """Drives the decision functions; every call that changes something checks the promise."""
+
+    def __init__(self, rules=None, standby_count=1, checks_fencing=False):
+        self.rules = rules or Rules()
+        self.standby_count = standby_count
+        self.checks_fencing = checks_fencing
+        self.now = timedelta(seconds=100)
+        self.row = None
+        self.table_down = False
+        self.held_writes = []
+        self.held_replies = []
+        self.cut_links = set()
+        self.late_links = {}
+        self.incarnations = 0
+        self.servers = {name: Server() for name in SERVERS}
+        self.nodes = {}
+        for name in NAMES:
+            self.start_node(name)
+
+    def start_node(self, name):
+        """Start an instance anew, with no memory."""
+        self.incarnations += 1
+        setup = GroupSetup(
+            service="loft",
+            group=0,
+            slots=SLOTS,
+            checks_fencing=self.checks_fencing,
+            member=f"{name}/{self.incarnations}",
+            data_centre=name,
+            standby_count=self.standby_count,
+            timing=TIMING,
+            rules=self.rules,
+        )
+        state = GroupState(setup, SERVERS, {n: n for n in NAMES if n != name})
+        self.nodes[name] = Node(state)
+
+    def run(self, duration):
+        """Let time pass."""
+        for _ in range(duration // STEP):
+            self.now += STEP
+            for name, node in self.nodes.items():
+                if not node.paused:
+                    self.deliver(name, Tick())
+            self.check()
+
+    def deliver(self, name, event):
+        """Hand an event to an instance, or keep it until the instance runs again."""
+        node = self.nodes[name]
+        if node.paused:
+            node.inbox.append(event)
+            return
+        for effect in handle_event(node.state, event, self.now):
+            self._carry_out(name, effect)
+
+    def resume(self, name):
+        """Let a paused instance go on with what has waited for it."""
+        node = self.nodes[name]
+        node.paused = False
+        while node.inbox and not node.paused:
+            self.deliver(name, node.inbox.popleft())
+        self.check()
+
+    def move(self, slot, server, lost=()):
+        """Ask each instance that holds itself to be the coordinator for a move."""
+        for name, node in self.nodes.items():
+            row = node.state.known
+            if node.state.term is not None and row is not None and not node.paused:
+                source = SERVERS.index(row.servers[row.owners[slot]])
+                if source != SERVERS.index(server):
+                    moves = (Move(slot, None, source, SERVERS.index(server), "test"),)
+                    self.deliver(name, MovesPlanned(SERVERS, moves, frozenset(lost)))
+        self.check()
+
+    def stop_node(self, name):
+        """Ask an instance to hand over."""
+        self.deliver(name, StopRequested())
+        self.check()
+
+    def cut(self, u, v, late=False):
+        """Cut the link between two instances, or let what it carries wait."""
+        link = frozenset((u, v))
+        if late:
+            self.late_links.setdefault(link, [])
+        else:
+            self.cut_links.add(link)
+
+    def heal(self, u, v):
+        """Mend a link, and deliver what has waited on it."""
+        link = frozenset((u, v))
+        self.cut_links.discard(link)
+        for receiver, event in self.late_links.pop(link, []):
+            self.deliver(receiver, event)
+        self.check()
+
+    def apply_held_write(self):
+        """Let the oldest write that was held up reach the table."""
+        if self.held_writes:
+            row = self.held_writes.pop(0)
+            if row.version == self._version() + 1:
+                self.row = row
+        self.check()
+
+    def deliver_held_reply(self):
+        """Let the oldest reply that was held up arrive."""
+        if self.held_replies:
+            name, member, event = self.held_replies.pop(0)
+            if self.nodes[name].state.setup.member == member:
+                self.deliver(name, event)
+        self.check()
+
+    def kill_server(self, name):
+        """End a server's process; it starts anew with no memory."""
+        self.servers[name] = Server()
+
+    def check(self):
+        """Raise `OwnersOverlap` where a slot has two owners now."""
+        for slot in SLOTS:
+            owners = self._granted(slot) | self._routed(slot)
+            if len({server for server, _ in owners}) > 1:
+                raise OwnersOverlap(f"slot {slot} at {self.now}: {sorted(owners)}")
+
+    def coordinator(self):
+        """Return the name of the row's coordinator."""
+        return self.row.coordinator.partition("/")[0]
+
+    def routed_by(self, name, slot):
+        """Return the server that an instance may send to, or None."""
+        lease = self.nodes[name].state.lease
+        if lease.row is None or self.now >= lease.expires or slot in lease.closed_slots:
+            return None
+        return lease.row.servers[lease.row.owners[slot]]
+
+    def _routed(self, slot):
+        routed = set()
+        for name, node in self.nodes.items():
+            server = self.routed_by(name, slot)
+            if server is None:
+                continue
+            epoch = node.state.lease.row.epochs[slot]
+            if not self.checks_fencing or self.servers[server].seen.get(slot, 0) <= epoch:
+                routed.add((server, "routed by " + name))
+        return routed
+
+    def _granted(self, slot):
+        return {
+            (name, "granted")
+            for name, server in self.servers.items()
+            if slot in server.held and server.held[slot][1] > self.now
+        }
+
+    def _version(self):
+        return 0 if self.row is None else self.row.version
+
+    def _carry_out(self, name, effect):
+        match effect:
+            case ReadRow():
+                self._read(name)
+            case WriteRow():
+                self._write(name, effect.row)
+            case SendMessage():
+                self._send(name, effect)
+            case TellServer():
+                self._tell(name, effect)
+            case AwaitDrain():
+                self.deliver(name, Drained(effect.version, effect.coordinator))
+            case LeaseChanged():
+                pass
+
+    def _read(self, name):
+        node = self.nodes[name]
+        if self.table_down or node.table_cut:
+            self.deliver(name, RowRead(self.now, False))
+            return
+        event = RowRead(self.now, True, self.row)
+        if node.hold_reads > 0:
+            node.hold_reads -= 1
+            self.held_replies.append((name, node.state.setup.member, event))
+            return
+        self.deliver(name, event)
+
+    def _write(self, name, row):
+        node = self.nodes[name]
+        if self.table_down or node.table_cut:
+            self._answer(name, row, WriteOutcome.NOT_DONE)
+        elif node.hold_writes > 0:
+            node.hold_writes -= 1
+            self.held_writes.append(row)
+            self._answer(name, row, WriteOutcome.UNKNOWN)
+        elif row.version != self._version() + 1:
+            self._answer(name, row, WriteOutcome.CONFLICT)
+        else:
+            self.row = row
+            lost = node.lose_replies > 0
+            node.lose_replies -= lost
+            self._answer(name, row, WriteOutcome.UNKNOWN if lost else WriteOutcome.WRITTEN)
+
+    def _answer(self, name, row, outcome):
+        current = self.row if outcome is WriteOutcome.CONFLICT else None
+        self.deliver(name, WriteAnswered(row.writer, self.now, outcome, current))
+
+    def _send(self, name, effect):
+        event = MessageArrived(name, effect.message)
+        link = frozenset((name, effect.instance))
+        if link in self.cut_links:
+            return
+        if link in self.late_links:
+            self.late_links[link].append((effect.instance, event))
+            return
+        self.deliver(effect.instance, event)
+
+    def _tell(self, name, effect):
+        server = self.servers[effect.server]
+        answer = GrantAnswer.UNKNOWN if server.frozen else GrantAnswer.ACCEPTED
+        if not server.alive:
+            answer = GrantAnswer.GONE
+        if answer is GrantAnswer.ACCEPTED:
+            self._apply(server, effect.grants)
+        self.deliver(name, ServerAnswered(effect.server, self.now, effect.grants, answer))
+
+    def _apply(self, server, grants):
+        for r in grants.revoked:
+            for slot in range(r.first, r.last + 1):
+                server.seen[slot] = max(server.seen.get(slot, 0), r.epoch)
+                server.held.pop(slot, None)
+        for r in grants.granted:
+            for slot in range(r.first, r.last + 1):
+                if server.seen.get(slot, 0) <= r.epoch:
+                    server.seen[slot] = r.epoch
+                    server.held[slot] = (r.epoch, self.now + grants.valid)
+
+
+def settled_world(**options):
+    """Return a world whose first coordinator has named its standbys."""
+    world = World(**options)
+    world.run(timedelta(seconds=6))
+    assert len(world.row.standbys) == min(world.standby_count, len(NAMES) - 1)
+    return world
+
+
+def with_rule_off(name):
+    """Return the rules with one of them switched off."""
+    return replace(Rules(), **{name: False})
--- a/laburnumhatch/ownership/tests/test_row.py
+++ b/laburnumhatch/ownership/tests/test_row.py
@@ -16,7 +16,7 @@
         servers=("loft-1", "loft-2"),
         owners=(0, 1, -1, 1),
         epochs=(1, 7, 3, 3),
-        keys=(KeyOwner(2**64 - 1, 1, 6),),
+        keys=(KeyOwner(2**64 - 1, 7, 1, 6),),
         unsettled=(6, 7),
         debt=milliseconds(1500),
         history=(MoveRecord(5, None, "loft-1", "loft-2", 7, "loft-1 is leaving"),),
