--- a/laburnumhatch/configuration/__init__.py
+++ b/laburnumhatch/configuration/__init__.py
@@ -1,7 +1,10 @@
 """Snapshots of the routing files: publishing and putting into force."""
 
 from .collect import CollectedFile, CollectionError, collect
+from .compare import Change, ChangeKind, Comparison, compare, differences
 from .follower import ConfigurationFollower
+from .in_force import InForce, Laggard, NotInForce, await_in_force, http_reported_version
+from .messages import CONFIGURATION_MESSAGES
 from .publication import CONFIGURATION_ROW, Publication
 from .publish import (
     PublishConflict,
@@ -15,6 +18,17 @@
 from .snapshot import SnapshotRefused, decode_snapshot, encode_snapshot, snapshot_digest
 
 __all__ = [
+    "CONFIGURATION_MESSAGES",
+    "Change",
+    "ChangeKind",
+    "Comparison",
+    "InForce",
+    "Laggard",
+    "NotInForce",
+    "await_in_force",
+    "compare",
+    "differences",
+    "http_reported_version",
     "CONFIGURATION_ROW",
     "CollectedFile",
     "CollectionError",
--- /dev/null
+++ b/laburnumhatch/configuration/compare.py
@@ -0,0 +1,112 @@
+"""Differences between routing files and the configuration in force."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from ..clocks import Clock
+from ..platform import ObjectStore, Table
+from ..routing import RoutingFile
+from .publish import PublishFailed, read_publication
+from .snapshot import files_of, snapshot_digest, snapshot_name
+
+__all__ = ["Change", "ChangeKind", "Comparison", "compare", "differences"]
+
+
+class ChangeKind(StrEnum):
+    """Kind of a difference."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One difference.
+
+    Attributes
+    ----------
+    kind : ChangeKind
+    place : str
+        For example ``lofts`` for a service, ``lofts.kinds.view`` for a kind of request,
+        ``lofts.targets.loft-3`` for a target, and ``lofts.kinds.view.deadline_ms`` for a field.
+    before, after : str
+        The values of a field; empty for a service, kind or target.
+    """
+
+    kind: ChangeKind
+    place: str
+    before: str = ""
+    after: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Differences from the version in force, 0 where none is."""
+
+    version: int
+    changes: tuple[Change, ...]
+
+
+async def compare(
+    files: Iterable[RoutingFile], *, clock: Clock, table: Table, object_store: ObjectStore
+) -> Comparison | PublishFailed:
+    """Return what publishing `files` would change.
+
+    Returns
+    -------
+    Comparison or PublishFailed
+        The latter where the version in force can't be read.
+    """
+    current = await read_publication(clock, table)
+    if isinstance(current, PublishFailed):
+        return current
+    if current is None:
+        return Comparison(0, differences((), files))
+    publication = current[1]
+    content = await object_store.get(snapshot_name(publication.digest))
+    if not isinstance(content, bytes):
+        return PublishFailed(f"version {publication.version} can't be fetched: {content}")
+    if snapshot_digest(content) != publication.digest:
+        return PublishFailed(f"the snapshot of version {publication.version} is corrupted")
+    return Comparison(publication.version, differences(files_of(content), files))
+
+
+def differences(before: Iterable[RoutingFile], after: Iterable[RoutingFile]) -> tuple[Change, ...]:
+    """Return the differences between two sets of routing files, in order of place."""
+    return tuple(_compare_maps("", _services(before), _services(after)))
+
+
+def _services(files: Iterable[RoutingFile]) -> dict[str, Any]:
+    return {file.service: _by_name(file) for file in files}
+
+
+def _by_name(file: RoutingFile) -> dict[str, Any]:
+    """Return a file's values with each target under its name."""
+    values = file.model_dump(mode="json", exclude={"service"}, exclude_none=True)
+    servers = values["targets"].pop("servers")
+    values["targets"] |= {server.pop("name"): server for server in servers}
+    return values
+
+
+def _compare_maps(
+    prefix: str, before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[Change]:
+    for name in sorted(before.keys() | after.keys()):
+        place = f"{prefix}{name}"
+        if name not in after:
+            yield Change(ChangeKind.REMOVED, place, before=_value(before[name]))
+        elif name not in before:
+            yield Change(ChangeKind.ADDED, place, after=_value(after[name]))
+        elif isinstance(before[name], dict) and isinstance(after[name], dict):
+            yield from _compare_maps(f"{place}.", before[name], after[name])
+        elif before[name] != after[name]:
+            yield Change(
+                ChangeKind.CHANGED, place, before=_value(before[name]), after=_value(after[name])
+            )
+
+
+def _value(value: Any) -> str:
+    return "" if isinstance(value, dict) else str(value)
--- /dev/null
+++ b/laburnumhatch/configuration/in_force.py
@@ -0,0 +1,143 @@
+"""Waiting until the live instances report a version."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from pydantic import BaseModel, ValidationError
+from twisted.internet.defer import Deferred, DeferredList
+
+from ..clocks import Clock, milliseconds
+from ..platform import HttpClient, InstanceList, ListedInstance, Unavailable
+from ..platform.http import HttpAnswer
+from .pause import pause
+
+__all__ = ["InForce", "Laggard", "NotInForce", "await_in_force", "http_reported_version"]
+
+WITHIN = timedelta(seconds=10)
+PAUSE = milliseconds(300)
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Laggard:
+    """An instance that doesn't report the version, and why."""
+
+    instance: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """All listed instances report the version or a later one."""
+
+    version: int
+    instances: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NotInForce:
+    """The time is over; the version is published all the same.
+
+    Attributes
+    ----------
+    version : int
+    instances : tuple of str
+        Those that report the version.
+    laggards : tuple of Laggard
+        Those that don't; empty where the list itself can't be read.
+    reason : str
+    """
+
+    version: int
+    instances: tuple[str, ...]
+    laggards: tuple[Laggard, ...]
+    reason: str
+
+
+class _ReportedConfiguration(BaseModel):
+    version: int
+
+
+class _Status(BaseModel):
+    configuration: _ReportedConfiguration
+
+
+ReportedVersion = Callable[[ListedInstance], Awaitable[int | str]]
+
+
+def http_reported_version(client: HttpClient) -> ReportedVersion:
+    """Return a function that asks an instance's admin port for its version.
+
+    It returns the version, or why there is none.
+    """
+
+    async def reported_version(instance: ListedInstance) -> int | str:
+        url = f"http://{instance.host}:{instance.admin_port}/status"
+        answer = await client.call("GET", url, {})
+        if not isinstance(answer, HttpAnswer):
+            return answer.reason
+        if answer.status != OK:
+            return f"status {answer.status}"
+        try:
+            return _Status.model_validate_json(answer.body).configuration.version
+        except ValidationError as e:
+            return f"no valid status: {e}"
+
+    return reported_version
+
+
+async def await_in_force(
+    version: int,
+    *,
+    clock: Clock,
+    instance_list: InstanceList,
+    reported_version: ReportedVersion,
+    within: timedelta = WITHIN,
+) -> InForce | NotInForce:
+    """Wait until each listed instance reports `version` or a later one.
+
+    Parameters
+    ----------
+    version : int
+    clock : Clock
+    instance_list : InstanceList
+        Fetched anew each round, since instances come and go meanwhile.
+    reported_version : callable
+        Asks one instance, see `http_reported_version`.
+    within : timedelta, optional
+        Longest wait.
+    """
+    deadline = clock.now() + within
+    while True:
+        outcome = await _ask_all(version, instance_list, reported_version)
+        if isinstance(outcome, InForce) or clock.now() + PAUSE > deadline:
+            return outcome
+        await pause(clock, PAUSE)
+
+
+async def _ask_all(
+    version: int, instance_list: InstanceList, reported_version: ReportedVersion
+) -> InForce | NotInForce:
+    listed = await instance_list.fetch()
+    if isinstance(listed, Unavailable):
+        return NotInForce(version, (), (), f"the instance list can't be read: {listed.reason}")
+    calls = [Deferred.fromCoroutine(_ask(reported_version, instance)) for instance in listed]
+    answers = [answer for _, answer in await DeferredList(calls, consumeErrors=True)]
+    reached: list[str] = []
+    laggards: list[Laggard] = []
+    for instance, answer in zip(listed, answers, strict=True):
+        if isinstance(answer, int) and answer >= version:
+            reached.append(instance.name)
+        elif isinstance(answer, int):
+            laggards.append(Laggard(instance.name, f"version {answer} is in force"))
+        else:
+            laggards.append(Laggard(instance.name, str(answer)))
+    if laggards:
+        reason = f"{len(laggards)} of {len(listed)} listed instances don't report it"
+        return NotInForce(version, tuple(reached), tuple(laggards), reason)
+    return InForce(version, tuple(reached))
+
+
+async def _ask(reported_version: ReportedVersion, instance: ListedInstance) -> int | str:
+    return await reported_version(instance)
--- /dev/null
+++ b/laburnumhatch/configuration/messages.py
@@ -0,0 +1,39 @@
+"""Messages between entry instances about the configuration."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "CONFIGURATION_MESSAGES",
+    "ConfigurationAnnouncement",
+    "SnapshotPart",
+    "SnapshotRequest",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationAnnouncement:
+    """Version and digest of the snapshot in force at the sender."""
+
+    version: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """Asks for the bytes of a snapshot from `offset` on."""
+
+    digest: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """Bytes of a snapshot from `offset` on; `total` is its size, 0 where the sender lacks it."""
+
+    digest: str
+    offset: int
+    total: int
+    content: bytes
+
+
+CONFIGURATION_MESSAGES = (48, (ConfigurationAnnouncement, SnapshotRequest, SnapshotPart))
--- a/laburnumhatch/configuration/publication.py
+++ b/laburnumhatch/configuration/publication.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from pydantic import Field
+from pydantic import Field, ValidationError
 
 from ..platform import Row
-from ..settings import CheckedModel, DocumentError, parse_document
+from ..settings import CheckedModel
 
 __all__ = [
     "CONFIGURATION_ROW",
@@ -68,8 +68,8 @@
 def decode_publication(row: Row) -> Publication | PublicationRefused:
     """Return the publication in a row, or why it can't be read."""
     try:
-        return parse_document(row.value.decode(), Publication, row.key)
-    except (DocumentError, UnicodeDecodeError) as e:
+        return Publication.model_validate_json(row.value)
+    except ValidationError as e:
         return PublicationRefused(str(e))
 
 
--- a/laburnumhatch/configuration/snapshot.py
+++ b/laburnumhatch/configuration/snapshot.py
@@ -6,17 +6,17 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from pydantic import Field
+from pydantic import Field, ValidationError
 
-from ..routing import RoutingFile, Service, Snapshot, service_from_file
-from ..settings import CheckedModel, DocumentError, parse_document
+from ..routing import RoutingFile, Snapshot, service_from_file
+from ..settings import CheckedModel
 
 __all__ = [
     "MAX_SNAPSHOT_BYTES",
     "SnapshotRefused",
     "decode_snapshot",
     "encode_snapshot",
-    "services_of",
+    "files_of",
     "snapshot_digest",
     "snapshot_name",
 ]
@@ -92,22 +92,21 @@
     if found != digest:
         return SnapshotRefused(f"digest {found}, expected {digest}")
     try:
-        services = services_of(content)
-    except (DocumentError, UnicodeDecodeError) as e:
+        services = tuple(service_from_file(file) for file in files_of(content))
+    except ValidationError as e:
         return SnapshotRefused(str(e))
     return Snapshot(version, digest, services)
 
 
-def services_of(content: bytes) -> tuple[Service, ...]:
-    """Return the services of a snapshot's bytes.
+def files_of(content: bytes) -> tuple[RoutingFile, ...]:
+    """Return the routing files of a snapshot's bytes.
 
     Raises
     ------
-    DocumentError
+    pydantic.ValidationError
         If the content doesn't fit the model; names the field.
     """
-    document = parse_document(content.decode(), SnapshotDocument, "snapshot")
-    return tuple(service_from_file(file) for file in document.services)
+    return SnapshotDocument.model_validate_json(content).services
 
 
 def snapshot_digest(content: bytes) -> str:
--- a/laburnumhatch/configuration/tests/conftest.py
+++ b/laburnumhatch/configuration/tests/conftest.py
@@ -3,8 +3,14 @@
 import json
 
 import pytest
+from twisted.internet.defer import ensureDeferred
 
+from ...links.tests.conftest import Network
+from ...membership import Instance
 from ...routing import RoutingFile
+from ..follower import ConfigurationFollower
+from ..messages import CONFIGURATION_MESSAGES
+from ..publish import publish
 
 
 def make_document(service, port=9001, path=None):
@@ -19,6 +25,17 @@
     }
 
 
+def run(clock, coroutine):
+    """Return a coroutine's result, letting the clock run through its pauses."""
+    outcome = []
+    ensureDeferred(coroutine).addCallback(outcome.append)
+    for _ in range(300):
+        if outcome:
+            break
+        clock.reactor.advance(0.1)
+    return outcome[0]
+
+
 @pytest.fixture
 def make_file():
     """A function that returns a routing file."""
@@ -37,3 +54,61 @@
         return path
 
     return write
+
+
+@pytest.fixture
+def publish_file(clock, table, object_store, make_file):
+    """A function that publishes one service."""
+
+    def call(service, publisher="ana", **options):
+        return run(
+            clock,
+            publish(
+                [make_file(service)],
+                clock=clock,
+                table=table,
+                object_store=object_store,
+                publisher=publisher,
+                **options,
+            ),
+        )
+
+    return call
+
+
+class Fleet:
+    """Instances that follow the configuration, with streams between all of them."""
+
+    def __init__(self, clock, table, object_store):
+        self.network = Network(clock, CONFIGURATION_MESSAGES)
+        self.platform = {"table": table, "object_store": object_store}
+        self.followers = {}
+        self.versions = {}
+
+    def add(self, name, **platform):
+        """Add an instance and start it; `platform` replaces its view of the platform."""
+        links = self.network.add(name)
+        own = Instance(name, "127.0.0.1", 1, 2, "lade")
+        self.versions[name] = []
+        follower = ConfigurationFollower(
+            clock=self.network.clock,
+            links=links,
+            instances=self,
+            own=own,
+            on_change=lambda snapshot: self.versions[name].append(snapshot.version),
+            jitter=lambda: 0.0,
+            **self.platform | platform,
+        )
+        self.followers[name] = follower
+        follower.start()
+        return follower
+
+    def live(self):
+        """Return all instances."""
+        return tuple(Instance(name, "127.0.0.1", 1, 2, "lade") for name in sorted(self.followers))
+
+
+@pytest.fixture
+def fleet(clock, table, object_store):
+    """A fleet without instances."""
+    return Fleet(clock, table, object_store)
--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -9,10 +9,17 @@
 
 from ..balancing import TwoChoices
 from ..clocks import Clock
-from ..configuration import ConfigurationFollower
-from ..links import Links, MessageHandler
-from ..membership import Instance, InstanceDirectory, TargetHealth
+from ..configuration import CONFIGURATION_MESSAGES, ConfigurationFollower
+from ..links import LINK_MESSAGES, Codec, PeerLinks
+from ..membership import (
+    MEMBERSHIP_MESSAGES,
+    Instance,
+    InstanceDirectory,
+    TargetHealth,
+    http_probe,
+)
 from ..ownership import OwnershipKeeper
+from ..ownership.messages import OWNERSHIP_MESSAGES
 from ..planning import plan_moves
 from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
 from ..requests import RequestPath
@@ -24,20 +31,10 @@
 
 __all__ = ["EntryInstance"]
 
-_log = logbook.Logger("laburnumhatch.entry")
-
-
-class _NoLinks:
-    """Links of an instance without peers."""
-
-    def send(self, instance: str, message: object) -> bool:
-        return False
+# First number of the messages about ownership; a type's number is its place after it.
+OWNERSHIP_NUMBER = 64
 
-    def handle(self, message_type: type, handler: MessageHandler) -> None:
-        pass
-
-    def connected(self) -> tuple[str, ...]:
-        return ()
+_log = logbook.Logger("laburnumhatch.entry")
 
 
 class EntryInstance:
@@ -112,6 +109,7 @@
             },
             "instances": [instance.name for instance in self._instances.live()],
             "links": list(self._links.connected()),
+            "targets": self._targets.describe(),
             "ownership": self._ownership.status(),
             "in_flight": self._path.in_flight,
         }
@@ -136,22 +134,43 @@
 
     def _build_membership(self) -> None:
         settings = self._settings
+        self._links = PeerLinks(
+            reactor=self._reactor,
+            clock=self._clock,
+            codec=_build_codec(),
+            own=settings.name,
+            shared_key=settings.peer_key,
+        )
+        # The others are told this port, which the system may choose.
+        self._listen("peers", settings.peers, self._links.factory())
         own = Instance(
             settings.name,
             settings.advertise_host,
-            settings.peers.port,
+            self.ports["peers"],
             settings.admin.port,
             settings.data_centre,
         )
-        self._links: Links = _NoLinks()
         self._instances = InstanceDirectory(
-            clock=self._clock, instance_list=self._instance_list, own=own
+            clock=self._clock,
+            instance_list=self._instance_list,
+            own=own,
+            links=self._links,
+            seeds=[Instance(s.name, s.host, s.port, 0, s.data_centre) for s in settings.seeds],
+        )
+        self._targets = TargetHealth(
+            clock=self._clock,
+            own=settings.name,
+            links=self._links,
+            instances=self._instances,
+            probe=http_probe(HttpClient(self._reactor, self._clock), self._clock),
         )
-        self._targets = TargetHealth()
         self._configuration = ConfigurationFollower(
             clock=self._clock,
             table=self._table,
             object_store=self._object_store,
+            links=self._links,
+            instances=self._instances,
+            own=own,
             on_change=self._use_snapshot,
         )
 
@@ -210,6 +229,7 @@
 
     def _become_unready(self) -> None:
         _log.info("stopping: not ready from now on")
+        self._instances.announce_leaving()
         settings = self._settings
         self._clock.call_later(settings.unready_before_close, self._lifecycle.notice_over)
         self._clock.call_later(settings.stop_within, self._lifecycle.time_is_up)
@@ -223,7 +243,22 @@
     def _hand_over(self) -> None:
         self._configuration.stop()
         self._targets.stop()
-        self._instances.stop()
         stopped = Deferred.fromCoroutine(self._ownership.stop())
         stopped.addErrback(lambda f: _log.error("hand-over failed: {}", f.getTraceback()))
+        stopped.addBoth(lambda _: self._close_links())
         stopped.addBoth(lambda _: self._lifecycle.handed_over())
+
+    def _close_links(self) -> None:
+        self._instances.stop()
+        self._ports.pop("peers").stopListening()
+        self._links.stop()
+
+
+def _build_codec() -> Codec:
+    families = [
+        LINK_MESSAGES,
+        MEMBERSHIP_MESSAGES,
+        CONFIGURATION_MESSAGES,
+        (OWNERSHIP_NUMBER, OWNERSHIP_MESSAGES),
+    ]
+    return Codec(families)
--- a/laburnumhatch/links/__init__.py
+++ b/laburnumhatch/links/__init__.py
@@ -2,7 +2,7 @@
 
 from .codec import Codec, MessageInvalid
 from .dialer import PeerAddress
-from .interfaces import Links, MessageHandler
+from .interfaces import Links, ManagedLinks, MessageHandler
 from .messages import LINK_MESSAGES
 from .peer_links import PeerLinks
 from .stream import StreamTimes
@@ -11,6 +11,7 @@
     "LINK_MESSAGES",
     "Codec",
     "Links",
+    "ManagedLinks",
     "MessageHandler",
     "MessageInvalid",
     "PeerAddress",
--- a/laburnumhatch/links/interfaces.py
+++ b/laburnumhatch/links/interfaces.py
@@ -1,13 +1,14 @@
 """What the other packages ask of the links between entry instances."""
 
-from collections.abc import Callable
-from typing import Any, Protocol, TypeVar
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
-__all__ = ["Links", "MessageHandler"]
+from .dialer import PeerAddress
+
+__all__ = ["Links", "ManagedLinks", "MessageHandler"]
 
 # A message is a frozen dataclass that is registered with the codec.
 MessageHandler = Callable[[str, Any], None]
-M = TypeVar("M")
 
 
 class Links(Protocol):
@@ -27,3 +28,13 @@
 
     def connected(self) -> tuple[str, ...]:
         """Return the names of the instances with an open stream."""
+
+
+class ManagedLinks(Links, Protocol):
+    """Links whose peers membership chooses."""
+
+    def on_connected(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler(instance)`` whenever a stream to an instance opens."""
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Dial these instances from now on, and no others."""
--- a/laburnumhatch/links/peer_links.py
+++ b/laburnumhatch/links/peer_links.py
@@ -32,7 +32,7 @@
     Parameters
     ----------
     reactor
-        A Twisted reactor that listens and connects.
+        A Twisted reactor that connects.
     clock : Clock
     codec : Codec
         With `LINK_MESSAGES` and all messages that are sent.
@@ -79,26 +79,21 @@
         self._dialers: dict[str, Dialer] = {}
         self._streams: dict[str, PeerStream] = {}
         self._pending: list[PeerStream] = []
-        self._port: Any = None
         self._stopped = False
 
-    def listen(self, host: str, port: int) -> int:
-        """Accept streams at an address; return the port, chosen by the system for 0."""
-        factory = Factory.forProtocol(self.accept)
+    def factory(self) -> "Factory[PeerStream]":
+        """Return the factory of incoming connections, for a listening port."""
+        factory: Factory[PeerStream] = Factory.forProtocol(self.accept)
         factory.noisy = False
-        self._port = self._reactor.listenTCP(port, factory, interface=host)
-        found: int = self._port.getHost().port
-        return found
+        return factory
 
     def stop(self) -> None:
-        """Stop listening, dialling, and close all streams."""
+        """Stop dialling, take no more streams, and close all of them."""
         self._stopped = True
         for dialer in self._dialers.values():
             dialer.stop()
         for stream in (*self._streams.values(), *self._pending):
             stream.abort("this instance stops")
-        if self._port is not None:
-            self._port.stopListening()
 
     def set_peers(self, peers: Iterable[PeerAddress]) -> None:
         """Dial these instances from now on, and no others; open streams stay."""
--- a/laburnumhatch/membership/directory.py
+++ b/laburnumhatch/membership/directory.py
@@ -1,18 +1,33 @@
-"""The live entry instances."""
+"""The entry instances that are alive, followed by list and by heartbeats."""
 
-from collections.abc import Callable
+import random
+import secrets
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from datetime import timedelta
 from typing import Any
 
 import logbook
 from twisted.internet.defer import Deferred
 
 from ..clocks import Cancellable, Clock, milliseconds
-from ..platform import InstanceList, InstanceState, ListedInstance, Unavailable
+from ..links.dialer import PeerAddress
+from ..links.interfaces import ManagedLinks
+from ..platform import InstanceList, ListedInstance, Unavailable
 from .interfaces import Instance
+from .messages import Heartbeat, Introduction
+from .peers import choose_peers
+from .view import Heard, alive_instances, dialled_instances, live_instances
 
 __all__ = ["InstanceDirectory"]
 
 LIST_INTERVAL = milliseconds(1000)
+# With more instances each fetches the list less often, so that all of them together make at most
+# a hundred fetches a second.
+LIST_SPREAD = milliseconds(10)
+HEARTBEAT_INTERVAL = milliseconds(250)
+# An instance that was silent for so long and is in no list is forgotten.
+FORGET_AFTER = timedelta(minutes=10)
 
 _log = logbook.Logger("laburnumhatch.membership")
 
@@ -26,8 +41,13 @@
     instance_list : InstanceList
     own : Instance
         This instance.
+    links : ManagedLinks
+    seeds : sequence of Instance, optional
+        Instances to dial even while the platform's list can't be read.
     on_change : callable, optional
         Called with the live instances after each change.
+    jitter : callable, optional
+        Source of random numbers in [0, 1).
     """
 
     def __init__(
@@ -36,57 +56,137 @@
         clock: Clock,
         instance_list: InstanceList,
         own: Instance,
+        links: ManagedLinks,
+        seeds: Sequence[Instance] = (),
         on_change: Callable[[tuple[Instance, ...]], None] | None = None,
+        jitter: Callable[[], float] = random.random,
     ) -> None:
         self._clock = clock
         self._instance_list = instance_list
         self._own = own
+        self._links = links
+        self._seeds = seeds
         self._on_change = on_change
+        self._jitter = jitter
+        self._introduction = Introduction(own, secrets.token_hex(8))
+        self._leaving = False
+        self._listed: tuple[ListedInstance, ...] = ()
+        self._heard: dict[str, Heard] = {}
         self._live: tuple[Instance, ...] = (own,)
-        self._timer: Cancellable | None = None
+        self._last_tick = timedelta()
+        self._timers: dict[str, Cancellable] = {}
         self._running = False
+        links.handle(Introduction, self._introduced)
+        links.handle(Heartbeat, self._beat)
+        links.on_connected(self._connected)
 
     def live(self) -> tuple[Instance, ...]:
-        """Return the live instances in order of name, this one included."""
+        """Return the live instances in order of name, this one included.
+
+        Instances that are leaving are left out, see `alive`.
+        """
         return self._live
 
+    def alive(self) -> tuple[Instance, ...]:
+        """Return the instances that run, those that are leaving included, in order of name."""
+        return alive_instances(self._heard, self._own, self._clock.now())
+
     def start(self) -> None:
-        """Start following the platform's list."""
+        """Start following the platform's list and sending heartbeats."""
         self._running = True
+        self._last_tick = self._clock.now()
         self._poll()
+        self._tick()
 
     def stop(self) -> None:
-        """Stop following."""
+        """Stop following; the others hear no more of this instance."""
         self._running = False
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in self._timers.values():
+            if timer.active():
+                timer.cancel()
+
+    def announce_leaving(self) -> None:
+        """Tell the others that this instance takes on nothing new."""
+        self._leaving = True
+        self._send_heartbeats()
+
+    def _connected(self, name: str) -> None:
+        self._links.send(name, self._introduction)
+        self._links.send(name, Heartbeat(self._leaving))
+
+    def _introduced(self, name: str, message: Introduction) -> None:
+        if message.instance.name != name:
+            _log.error("{} introduces itself as {}", name, message.instance.name)
+            return
+        known = self._heard.get(name)
+        leaving = known.leaving if known and known.incarnation == message.incarnation else False
+        now = self._clock.now()
+        self._heard[name] = Heard(message.instance, message.incarnation, leaving, now)
+        self._update()
+
+    def _beat(self, name: str, message: Heartbeat) -> None:
+        known = self._heard.get(name)
+        if known is None:
+            return
+        self._heard[name] = replace(known, leaving=message.leaving, last=self._clock.now())
+        if message.leaving != known.leaving:
+            self._update()
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        late = now - self._last_tick - HEARTBEAT_INTERVAL
+        self._last_tick = now
+        if late > HEARTBEAT_INTERVAL:
+            self._allow_for_pause(late)
+        self._send_heartbeats()
+        self._update()
+        if self._running:
+            self._timers["tick"] = self._clock.call_later(HEARTBEAT_INTERVAL, self._tick)
+
+    def _allow_for_pause(self, late: timedelta) -> None:
+        # While this process is paused it hears nobody; that is no silence of theirs.
+        _log.warning("this process was paused for {}", late)
+        for name, heard in self._heard.items():
+            self._heard[name] = replace(heard, last=heard.last + late)
+
+    def _send_heartbeats(self) -> None:
+        heartbeat = Heartbeat(self._leaving)
+        for name in self._links.connected():
+            self._links.send(name, heartbeat)
 
     def _poll(self) -> None:
         poll = Deferred.fromCoroutine(self._fetch())
-        poll.addErrback(lambda failure: _log.error("list: {}", failure.getTraceback()))
-        poll.addBoth(self._schedule)
+        poll.addErrback(lambda f: _log.error("fetching the list failed: {}", f.getTraceback()))
+        poll.addBoth(self._schedule_poll)
 
-    def _schedule(self, _: Any) -> None:
+    def _schedule_poll(self, _: Any) -> None:
         if self._running:
-            self._timer = self._clock.call_later(LIST_INTERVAL, self._poll)
+            spread = LIST_SPREAD * max(len(self._listed), 1)
+            interval = max(LIST_INTERVAL, spread) * (1.0 + 0.2 * self._jitter())
+            self._timers["poll"] = self._clock.call_later(interval, self._poll)
 
     async def _fetch(self) -> None:
         listed = await self._instance_list.fetch()
-        if isinstance(listed, Unavailable):
-            return
-        live = {i.name: _instance(i) for i in listed if i.state is InstanceState.LIVE}
-        live[self._own.name] = self._own
-        self._set(tuple(live[name] for name in sorted(live)))
-
-    def _set(self, live: tuple[Instance, ...]) -> None:
+        if not isinstance(listed, Unavailable):
+            self._listed = listed
+            self._update()
+
+    def _update(self) -> None:
+        now = self._clock.now()
+        self._forget(now)
+        dialled = dialled_instances(self._listed, self._heard, self._seeds, self._own, now)
+        peers = choose_peers(dialled, self._own)
+        names = {peer.name for peer in peers}
+        live = live_instances(self._listed, self._heard, names, self._own, now)
+        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in peers)
         if live == self._live:
             return
+        _log.info("live instances: {}", ", ".join(i.name for i in live))
         self._live = live
         if self._on_change is not None:
             self._on_change(live)
 
-
-def _instance(listed: ListedInstance) -> Instance:
-    return Instance(
-        listed.name, listed.host, listed.peer_port, listed.admin_port, listed.data_centre
-    )
+    def _forget(self, now: timedelta) -> None:
+        for name, heard in list(self._heard.items()):
+            if now - heard.last > FORGET_AFTER:
+                del self._heard[name]
--- /dev/null
+++ b/laburnumhatch/membership/peers.py
@@ -0,0 +1,89 @@
+"""Choice of the instances that an instance keeps streams to."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from itertools import combinations
+
+import xxhash
+
+from .interfaces import Instance
+
+__all__ = ["FULL_MESH_LIMIT", "GATEWAYS", "choose_peers"]
+
+# Up to so many instances each has a stream to each other.
+FULL_MESH_LIMIT = 24
+# Streams between each two data centres.
+GATEWAYS = 2
+
+
+def choose_peers(instances: Iterable[Instance], own: Instance) -> tuple[Instance, ...]:
+    """Return the instances that `own` keeps streams to, in order of name.
+
+    Parameters
+    ----------
+    instances : iterable of Instance
+        The known instances; `own` may be among them.
+    own : Instance
+
+    Returns
+    -------
+    tuple of Instance
+
+    Notes
+    -----
+    The choice is symmetric: of two instances that know the same others, each chooses the other
+    or neither does. Few instances form a full mesh. Beyond `FULL_MESH_LIMIT`, the instances of a
+    data centre stand on a ring in order of the hash of their names, and each chooses those at
+    distances 1, 2, 4, ... in both directions, as in Chord [1]_; each two data centres are joined
+    by `GATEWAYS` streams, which are dealt out around the rings. With `n` instances in each of
+    `d` data centres the degree is at most ``2 * log2(n) + ceil(2 * (d - 1) / n) + 1``, and a
+    message that each instance passes on once reaches all in at most ``2 * log2(n) + 2`` hops
+    where all data centres are joined directly. Costs a sort of the instances.
+
+    References
+    ----------
+    .. [1] I. Stoica et al., "Chord: A Scalable Peer-to-Peer Lookup Service for Internet
+       Applications", SIGCOMM 2001.
+    """
+    known = {i.name: i for i in instances}
+    known[own.name] = own
+    if len(known) <= FULL_MESH_LIMIT:
+        return tuple(known[name] for name in sorted(known) if name != own.name)
+    rings = _rings(known.values())
+    chosen = _ring_peers(rings[own.data_centre], own) | _gateway_peers(rings, own)
+    return tuple(known[name] for name in sorted(chosen - {own.name}))
+
+
+def _rings(instances: Iterable[Instance]) -> dict[str, list[Instance]]:
+    rings: dict[str, list[Instance]] = defaultdict(list)
+    for instance in instances:
+        rings[instance.data_centre].append(instance)
+    for ring in rings.values():
+        ring.sort(key=lambda i: (xxhash.xxh3_64_intdigest(i.name.encode()), i.name))
+    return rings
+
+
+def _ring_peers(ring: Sequence[Instance], own: Instance) -> set[str]:
+    place = ring.index(own)
+    peers: set[str] = set()
+    distance = 1
+    while distance < len(ring):
+        peers.add(ring[(place + distance) % len(ring)].name)
+        peers.add(ring[(place - distance) % len(ring)].name)
+        distance *= 2
+    return peers
+
+
+def _gateway_peers(rings: dict[str, list[Instance]], own: Instance) -> set[str]:
+    peers: set[str] = set()
+    centres = sorted(rings)
+    # The next free place on each ring, so that the gateways of its pairs are spread over it.
+    places = dict.fromkeys(centres, 0)
+    for u, v in combinations(centres, 2):
+        for _ in range(GATEWAYS):
+            ends = [rings[centre][places[centre] % len(rings[centre])] for centre in (u, v)]
+            places[u] += 1
+            places[v] += 1
+            if own in ends:
+                peers.update(end.name for end in ends)
+    return peers
--- /dev/null
+++ b/laburnumhatch/membership/probe.py
@@ -0,0 +1,100 @@
+"""One probe of a target's health and load endpoints."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Literal
+
+from pydantic import BaseModel, Field, ValidationError
+from twisted.internet.defer import Deferred
+
+from ..clocks import Clock, milliseconds
+from ..platform import HttpClient
+from ..platform.http import HttpAnswer, NotSent, ReplyLost
+from ..routing import Target
+from .target_record import Signal
+
+__all__ = ["Probe", "ProbeOutcome", "TargetLoad", "http_probe"]
+
+PROBE_TIMEOUT = milliseconds(500)
+OK = 200
+
+
+class TargetLoad(BaseModel, frozen=True):
+    """Answer of a target's load endpoint; it may lag or mislead."""
+
+    running: int = Field(ge=0)
+    queued: int = Field(ge=0)
+    slots: int = Field(ge=0)
+
+
+class TargetHealthAnswer(BaseModel, frozen=True):
+    """Answer of a target's health endpoint."""
+
+    state: Literal["starting", "ready", "draining"]
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeOutcome:
+    """What a probe saw; `load` is None where the endpoint gave none."""
+
+    signal: Signal
+    load: TargetLoad | None = None
+
+
+Probe = Callable[[Target], Awaitable[ProbeOutcome]]
+
+_SIGNALS = {
+    "starting": Signal.HEALTH_STARTING,
+    "ready": Signal.HEALTH_READY,
+    "draining": Signal.DRAINING,
+}
+
+
+def http_probe(client: HttpClient, clock: Clock) -> Probe:
+    """Return a function that probes a target over HTTP.
+
+    Notes
+    -----
+    ``GET /health`` decides the signal, ``GET /load`` follows where the target is ready. No valid
+    answer within the timeout is a silence.
+    """
+
+    async def probe(target: Target) -> ProbeOutcome:
+        answer = await _get(client, clock, target, "/health")
+        if isinstance(answer, NotSent) and answer.refused:
+            return ProbeOutcome(Signal.REFUSED)
+        if not isinstance(answer, HttpAnswer) or answer.status != OK:
+            return ProbeOutcome(Signal.PROBE_SILENCE)
+        try:
+            health = TargetHealthAnswer.model_validate_json(answer.body)
+        except ValidationError:
+            return ProbeOutcome(Signal.PROBE_SILENCE)
+        signal = _SIGNALS[health.state]
+        if signal is not Signal.HEALTH_READY:
+            return ProbeOutcome(signal)
+        return ProbeOutcome(signal, await _load(client, clock, target))
+
+    return probe
+
+
+async def _load(client: HttpClient, clock: Clock, target: Target) -> TargetLoad | None:
+    answer = await _get(client, clock, target, "/load")
+    if not isinstance(answer, HttpAnswer) or answer.status != OK:
+        return None
+    try:
+        return TargetLoad.model_validate_json(answer.body)
+    except ValidationError:
+        return None
+
+
+async def _get(
+    client: HttpClient, clock: Clock, target: Target, path: str
+) -> HttpAnswer | NotSent | ReplyLost:
+    url = f"http://{target.host}:{target.port}{path}"
+    call = Deferred.fromCoroutine(client.call("GET", url, {}))
+    timeout = clock.call_later(PROBE_TIMEOUT, call.cancel)
+    try:
+        return await call
+    finally:
+        if timeout.active():
+            timeout.cancel()
--- /dev/null
+++ b/laburnumhatch/membership/prober.py
@@ -0,0 +1,153 @@
+"""Probes the targets that are this instance's to probe."""
+
+import random
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Any
+
+import logbook
+from twisted.internet.defer import Deferred
+
+from ..clocks import Cancellable, Clock, milliseconds
+from ..routing import Target
+from .interfaces import Instance, InstanceView
+from .probe import Probe, ProbeOutcome
+from .rendezvous import probers_of
+
+__all__ = ["TargetKey", "TargetProber"]
+
+# Interval of probes of a target that answers requests, and of any other.
+CALM_INTERVAL = milliseconds(1000)
+INTERVAL = milliseconds(500)
+ASSIGN_INTERVAL = milliseconds(1000)
+
+# Names of the service and of the target.
+TargetKey = tuple[str, str]
+
+_log = logbook.Logger("laburnumhatch.membership")
+
+
+class TargetProber:
+    """Probes each target that rendezvous hashing assigns to this instance.
+
+    Parameters
+    ----------
+    clock : Clock
+    own : str
+        Name of this instance.
+    instances : InstanceView
+    probe : callable
+        Probes one target.
+    on_outcome : callable
+        Called with the target's key and each `ProbeOutcome`.
+    is_calm : callable
+        Takes a target's key; returns whether requests show its state well enough.
+    jitter : callable
+        Source of random numbers in [0, 1).
+
+    Notes
+    -----
+    Each target has two probers whatever the number of instances, so the work of an instance
+    grows with the targets for each instance and not with all targets. The assignment is worked
+    out again only when the live instances or the targets change.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        own: str,
+        instances: InstanceView,
+        probe: Probe,
+        on_outcome: Callable[[TargetKey, ProbeOutcome], None],
+        is_calm: Callable[[TargetKey], bool],
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self._clock = clock
+        self._own = own
+        self._instances = instances
+        self._probe = probe
+        self._on_outcome = on_outcome
+        self._is_calm = is_calm
+        self._jitter = jitter
+        self._targets: Mapping[TargetKey, Target] = {}
+        self._assigned: dict[TargetKey, Target] = {}
+        self._assigned_for: tuple[Instance, ...] | None = None
+        self._timers: dict[TargetKey, Cancellable] = {}
+        self._assign_timer: Cancellable | None = None
+        self._running = False
+
+    @property
+    def assigned(self) -> tuple[TargetKey, ...]:
+        """The targets that this instance probes, in order."""
+        return tuple(sorted(self._assigned))
+
+    def follow(self, targets: Mapping[TargetKey, Target]) -> None:
+        """Probe these targets in place of those before."""
+        self._targets = targets
+        self._assigned_for = None
+        if self._running:
+            self._assign()
+
+    def start(self) -> None:
+        """Start probing."""
+        self._running = True
+        self._tick()
+
+    def stop(self) -> None:
+        """Stop probing."""
+        self._running = False
+        if self._assign_timer is not None and self._assign_timer.active():
+            self._assign_timer.cancel()
+        for key in list(self._timers):
+            self._cancel(key)
+        self._assigned.clear()
+        self._assigned_for = None
+
+    def _tick(self) -> None:
+        self._assign()
+        self._assign_timer = self._clock.call_later(ASSIGN_INTERVAL, self._tick)
+
+    def _assign(self) -> None:
+        live = self._instances.live()
+        if live == self._assigned_for:
+            return
+        self._assigned_for = live
+        before = self._assigned
+        self._assigned = {
+            key: target for key, target in self._targets.items() if self._is_own(live, key, target)
+        }
+        for key in set(before) - set(self._assigned):
+            self._cancel(key)
+        for key in self._assigned:
+            if key not in before:
+                self._schedule(key, INTERVAL * self._jitter())
+
+    def _is_own(self, live: tuple[Instance, ...], key: TargetKey, target: Target) -> bool:
+        probers = probers_of(live, *key, target.data_centre)
+        return any(prober.name == self._own for prober in probers)
+
+    def _schedule(self, key: TargetKey, delay: timedelta) -> None:
+        self._cancel(key)
+        self._timers[key] = self._clock.call_later(delay, self._start_probe, key)
+
+    def _cancel(self, key: TargetKey) -> None:
+        timer = self._timers.pop(key, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _start_probe(self, key: TargetKey) -> None:
+        probe = Deferred.fromCoroutine(self._run(key, self._assigned[key]))
+        probe.addErrback(lambda f: _log.error("a probe failed: {}", f.getTraceback()))
+        probe.addBoth(lambda _: self._probed(key))
+
+    async def _run(self, key: TargetKey, target: Target) -> None:
+        outcome = await self._probe(target)
+        # The configuration may have given the name to another address meanwhile.
+        if self._running and self._targets.get(key) == target:
+            self._on_outcome(key, outcome)
+
+    def _probed(self, key: TargetKey) -> Any:
+        if key in self._assigned:
+            interval = CALM_INTERVAL if self._is_calm(key) else INTERVAL
+            self._schedule(key, interval * (0.9 + 0.1 * self._jitter()))
--- a/laburnumhatch/membership/target_health.py
+++ b/laburnumhatch/membership/target_health.py
@@ -1,39 +1,187 @@
-"""State of the upstream targets."""
+"""State of the upstream targets, as this instance sees it."""
 
-from ..routing import Snapshot
-from .interfaces import TargetState
+import random
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+
+import logbook
+
+from ..clocks import Clock
+from ..links.interfaces import ManagedLinks
+from ..routing import Snapshot, Target
+from .interfaces import InstanceView, TargetState
+from .messages import TargetReport
+from .probe import Probe, ProbeOutcome, TargetLoad
+from .prober import TargetKey, TargetProber
+from .target_record import FRESH_ANSWER, Signal, TargetRecord, apply_report, apply_signal
+from .target_reports import TargetReports
 
 __all__ = ["TargetHealth"]
 
+# A target that was out of service so lately is reported to an instance whose stream opens.
+NOTEWORTHY_FOR = timedelta(seconds=60)
+
+_log = logbook.Logger("laburnumhatch.membership")
+
 
 class TargetHealth:
-    """Targets of all services, all ready."""
+    """Targets of all services: probes, own requests and the other instances' reports together.
+
+    Parameters
+    ----------
+    clock : Clock
+    own : str
+        Name of this instance.
+    links : ManagedLinks
+    instances : InstanceView
+    probe : callable
+        Probes one target, see `http_probe`.
+    jitter : callable, optional
+        Source of random numbers in [0, 1).
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        own: str,
+        links: ManagedLinks,
+        instances: InstanceView,
+        probe: Probe,
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self._clock = clock
+        self._targets: dict[TargetKey, Target] = {}
+        self._records: dict[TargetKey, TargetRecord] = {}
+        self._loads: dict[TargetKey, TargetLoad] = {}
+        self._listeners: list[Callable[[str, str, TargetState], None]] = []
+        self._reports = TargetReports(
+            clock=clock,
+            links=links,
+            make_report=self._make_report,
+            noteworthy=self._noteworthy,
+        )
+        self._prober = TargetProber(
+            clock=clock,
+            own=own,
+            instances=instances,
+            probe=probe,
+            on_outcome=self._probed,
+            is_calm=self._is_calm,
+            jitter=jitter,
+        )
+        links.handle(TargetReport, self._reported)
 
     def follow(self, snapshot: Snapshot) -> None:
-        """Watch the targets of a snapshot in place of those before."""
+        """Watch the targets of a snapshot in place of those before.
+
+        A target that keeps its name and address keeps its state; a new one counts as ready.
+        """
+        before = self._targets
+        self._targets = {(s.name, t.name): t for s in snapshot.services for t in s.targets}
+        self._records = {
+            key: self._records[key] if before.get(key) == target else TargetRecord()
+            for key, target in self._targets.items()
+        }
+        self._prober.follow(self._targets)
 
     def start(self) -> None:
-        """Start watching."""
+        """Start probing."""
+        self._prober.start()
 
     def stop(self) -> None:
-        """Stop watching."""
+        """Stop probing and reporting."""
+        self._prober.stop()
+        self._reports.stop()
+
+    def on_change(self, listener: Callable[[str, str, TargetState], None]) -> None:
+        """Call ``listener(service, target, state)`` after each change of a state."""
+        self._listeners.append(listener)
 
     def state(self, service: str, target: str) -> TargetState:
-        """Return the state of a target."""
-        return TargetState.READY
+        """Return the state of a target; suspect where the configuration doesn't name it."""
+        record = self._records.get((service, target))
+        return record.state if record is not None else TargetState.SUSPECT
 
     def takes_new_work(self, service: str, target: str) -> bool:
         """Return whether new requests may be sent to a target."""
-        return True
+        return self.state(service, target) is TargetState.READY
+
+    def load(self, service: str, target: str) -> TargetLoad | None:
+        """Return the last load that this instance read of a target, if it is its prober."""
+        return self._loads.get((service, target))
+
+    def describe(self) -> dict[str, dict[str, str]]:
+        """Return the states by service and target, for the operators."""
+        described: dict[str, dict[str, str]] = {}
+        for (service, target), record in sorted(self._records.items()):
+            described.setdefault(service, {})[target] = record.state.value
+        return described
 
     def note_answer(self, service: str, target: str) -> None:
         """Note that a target answered a request."""
+        self._apply((service, target), Signal.ANSWER)
 
     def note_draining(self, service: str, target: str) -> None:
         """Note that a target refused a request because it is leaving."""
+        self._apply((service, target), Signal.DRAINING)
 
     def note_connection_refused(self, service: str, target: str) -> None:
         """Note that a target refused a connection."""
+        self._apply((service, target), Signal.REFUSED)
 
     def note_silence(self, service: str, target: str) -> None:
         """Note that a target did not answer a request in time."""
+        self._apply((service, target), Signal.SILENCE)
+
+    def _probed(self, key: TargetKey, outcome: ProbeOutcome) -> None:
+        if outcome.load is not None:
+            self._loads[key] = outcome.load
+        self._apply(key, outcome.signal)
+
+    def _apply(self, key: TargetKey, signal: Signal) -> None:
+        record = self._records.get(key)
+        if record is not None:
+            self._set(key, apply_signal(record, signal, self._clock.now()), signal.value)
+
+    def _reported(self, instance: str, report: TargetReport) -> None:
+        key = (report.service, report.target)
+        record = self._records.get(key)
+        if record is None:
+            return
+        now = self._clock.now()
+        # An age below zero would make evidence that nothing later could outweigh.
+        evidence = now - max(report.age, timedelta())
+        changed = apply_report(record, instance, report.state, evidence, now)
+        self._set(key, changed, f"report of {instance}")
+
+    def _set(self, key: TargetKey, record: TargetRecord, cause: str) -> None:
+        before = self._records[key]
+        self._records[key] = record
+        if record.state is before.state:
+            return
+        _log.info(
+            "target {} of {}: {} to {} by {}", key[1], key[0], before.state, record.state, cause
+        )
+        self._reports.share(key)
+        for listener in self._listeners:
+            listener(*key, record.state)
+
+    def _is_calm(self, key: TargetKey) -> bool:
+        record = self._records.get(key)
+        if record is None or record.state is not TargetState.READY:
+            return False
+        return record.answered_since(self._clock.now() - FRESH_ANSWER)
+
+    def _make_report(self, key: TargetKey) -> TargetReport | None:
+        record = self._records.get(key)
+        if record is None:
+            return None
+        return TargetReport(*key, record.state, self._clock.now() - record.since)
+
+    def _noteworthy(self) -> Iterator[TargetKey]:
+        now = self._clock.now()
+        for key, record in self._records.items():
+            lately = record.last_trip is not None and now - record.last_trip < NOTEWORTHY_FOR
+            if record.state is not TargetState.READY or lately:
+                yield key
--- /dev/null
+++ b/laburnumhatch/membership/target_record.py
@@ -0,0 +1,273 @@
+"""What an instance holds of one target, and how signals change it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from enum import StrEnum
+
+from ..clocks import milliseconds
+from .interfaces import TargetState
+
+__all__ = ["Signal", "TargetRecord", "apply_report", "apply_signal", "hold_of"]
+
+# Silences in a row, without an answer between them, that make a target suspect.
+SILENCE_LIMIT = 2
+SILENCE_WINDOW = timedelta(seconds=10)
+# Good probes in a row that end a suspicion or an absence.
+CONFIRMATIONS = 2
+# Shortest time out of service; doubles with each trip that follows within CALM_AFTER.
+HOLD = milliseconds(1000)
+LONGEST_HOLD = timedelta(seconds=30)
+CALM_AFTER = timedelta(seconds=60)
+# Shortest time for which a leaving target is left alone whatever its health endpoint says.
+LEAVING_HOLD = timedelta(seconds=30)
+LONGEST_LEAVING_HOLD = timedelta(minutes=5)
+# Longest time by which health endpoints are taken to lag.
+HEALTH_LAG = timedelta(seconds=10)
+# An own answer so recent counts more than a probe or a report of silence.
+FRESH_ANSWER = milliseconds(1000)
+
+
+class Signal(StrEnum):
+    """What an instance itself sees of a target."""
+
+    ANSWER = "answer"
+    DRAINING = "draining"
+    REFUSED = "refused"
+    SILENCE = "silence"
+    HEALTH_READY = "health-ready"
+    HEALTH_STARTING = "health-starting"
+    PROBE_SILENCE = "probe-silence"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """State of one target and what led to it.
+
+    Attributes
+    ----------
+    state : TargetState
+    since : timedelta
+        Instant of the evidence for the state.
+    silences : int
+        Silences since the last answer, none longer apart than `SILENCE_WINDOW`.
+    last_silence : timedelta or None
+    accusers : frozenset of str
+        Instances that hold the target to be suspect.
+    confirmations : int
+        Good probes in a row.
+    trips : int
+        How often the target went out of service in close succession.
+    last_trip : timedelta or None
+    last_answer : timedelta or None
+        Instant of the last answer to an own request.
+    """
+
+    state: TargetState = TargetState.READY
+    since: timedelta = timedelta()
+    silences: int = 0
+    last_silence: timedelta | None = None
+    accusers: frozenset[str] = frozenset()
+    confirmations: int = 0
+    trips: int = 0
+    last_trip: timedelta | None = None
+    last_answer: timedelta | None = None
+
+    def answered_since(self, instant: timedelta) -> bool:
+        """Return whether an own request was answered at `instant` or later."""
+        return self.last_answer is not None and self.last_answer >= instant
+
+
+Rule = Callable[[TargetRecord, timedelta], TargetRecord]
+
+
+def apply_signal(record: TargetRecord, signal: Signal, now: timedelta) -> TargetRecord:
+    """Return the record after something that this instance saw itself.
+
+    Parameters
+    ----------
+    record : TargetRecord
+    signal : Signal
+    now : timedelta
+
+    Notes
+    -----
+    Bad news counts at once, good news only after the hold. A drain answer outweighs everything
+    but the end of the process: health endpoints lag, so a leaving target comes back only after
+    its port was closed, or after a long hold. A refused connection makes it gone. Two silences
+    without an answer make it suspect, even while its health endpoint says ready. The hold grows
+    with each trip, so that a flapping target, or one whose health endpoint misleads, costs ever
+    fewer requests.
+    """
+    return _RULES[signal](record, now)
+
+
+def apply_report(
+    record: TargetRecord,
+    reporter: str,
+    state: TargetState,
+    evidence: timedelta,
+    now: timedelta,
+) -> TargetRecord:
+    """Return the record after the report of another instance.
+
+    Parameters
+    ----------
+    record : TargetRecord
+    reporter : str
+        Name of the other instance.
+    state : TargetState
+        As the other instance sees it.
+    evidence : timedelta
+        Instant of its evidence, in the time of this instance.
+    now : timedelta
+
+    Notes
+    -----
+    A report whose evidence is older than this record's changes nothing, so that reports may
+    arrive late, repeated and out of order. Another's suspicion counts as one silence, however
+    often it is reported: its path to the target may be at fault.
+    """
+    if evidence <= record.since:
+        return record
+    if state is TargetState.LEAVING:
+        return _trip(record, state, now, evidence)
+    if state is TargetState.GONE:
+        return record if record.answered_since(evidence) else _gone(record, now, evidence)
+    if state is TargetState.SUSPECT:
+        return _report_suspect(record, reporter, evidence, now)
+    if state is TargetState.STARTING:
+        return _enter(record, state, evidence) if _may_have_restarted(record, now) else record
+    return _report_ready(record, reporter, evidence, now)
+
+
+def hold_of(record: TargetRecord) -> timedelta:
+    """Return how long a target stays out of service at least.
+
+    Examples
+    --------
+    >>> hold_of(TargetRecord(TargetState.SUSPECT, trips=3)).total_seconds()
+    4.0
+    """
+    doubled = 2 ** min(max(record.trips - 1, 0), 10)
+    if record.state is TargetState.LEAVING:
+        return min(LEAVING_HOLD * doubled, LONGEST_LEAVING_HOLD)
+    return min(HOLD * doubled, LONGEST_HOLD)
+
+
+def _enter(record: TargetRecord, state: TargetState, since: timedelta) -> TargetRecord:
+    return replace(
+        record,
+        state=state,
+        since=since,
+        silences=0,
+        last_silence=None,
+        accusers=frozenset(),
+        confirmations=0,
+    )
+
+
+def _trip(
+    record: TargetRecord, state: TargetState, now: timedelta, since: timedelta
+) -> TargetRecord:
+    if record.state is state:
+        return replace(record, since=since, confirmations=0)
+    calm = record.last_trip is None or now - record.last_trip > CALM_AFTER
+    trips = 1 if calm else record.trips + 1
+    return replace(_enter(record, state, since), trips=trips, last_trip=now)
+
+
+def _answer(record: TargetRecord, now: timedelta) -> TargetRecord:
+    answered = replace(record, last_answer=now, silences=0, accusers=frozenset())
+    if record.state is TargetState.SUSPECT and now - record.since >= hold_of(record):
+        return _enter(answered, TargetState.READY, now)
+    return answered
+
+
+def _draining(record: TargetRecord, now: timedelta) -> TargetRecord:
+    return _trip(record, TargetState.LEAVING, now, now)
+
+
+def _refused(record: TargetRecord, now: timedelta) -> TargetRecord:
+    return _gone(record, now, now)
+
+
+def _gone(record: TargetRecord, now: timedelta, since: timedelta) -> TargetRecord:
+    if record.state is TargetState.LEAVING:
+        # The planned end of a leaving process is no trip.
+        return _enter(record, TargetState.GONE, since)
+    return _trip(record, TargetState.GONE, now, since)
+
+
+def _silence(record: TargetRecord, now: timedelta) -> TargetRecord:
+    recent = record.last_silence is not None and now - record.last_silence <= SILENCE_WINDOW
+    silences = record.silences + 1 if recent else 1
+    heard = replace(record, silences=silences, last_silence=now, confirmations=0)
+    return _suspect_if_enough(heard, now)
+
+
+def _suspect_if_enough(record: TargetRecord, now: timedelta) -> TargetRecord:
+    doubts = record.silences + len(record.accusers)
+    if record.state is TargetState.READY and doubts >= SILENCE_LIMIT:
+        return _trip(record, TargetState.SUSPECT, now, now)
+    return record
+
+
+def _probe_silence(record: TargetRecord, now: timedelta) -> TargetRecord:
+    if record.answered_since(now - FRESH_ANSWER):
+        return replace(record, confirmations=0)
+    return _silence(record, now)
+
+
+def _health_ready(record: TargetRecord, now: timedelta) -> TargetRecord:
+    if record.state is TargetState.READY:
+        return record
+    if record.state is TargetState.STARTING:
+        return _enter(record, TargetState.READY, now)
+    confirmed = replace(record, confirmations=record.confirmations + 1)
+    if confirmed.confirmations < CONFIRMATIONS or now - record.since < hold_of(record):
+        return confirmed
+    return _enter(record, TargetState.READY, now)
+
+
+def _health_starting(record: TargetRecord, now: timedelta) -> TargetRecord:
+    if not _may_have_restarted(record, now):
+        return record
+    if record.state is TargetState.STARTING or record.answered_since(now - FRESH_ANSWER):
+        return record
+    return _enter(record, TargetState.STARTING, now)
+
+
+def _may_have_restarted(record: TargetRecord, now: timedelta) -> bool:
+    return record.state is not TargetState.LEAVING or now - record.since >= HEALTH_LAG
+
+
+def _report_suspect(
+    record: TargetRecord, reporter: str, evidence: timedelta, now: timedelta
+) -> TargetRecord:
+    if record.answered_since(evidence):
+        return record
+    accused = replace(record, accusers=record.accusers | {reporter})
+    return _suspect_if_enough(accused, now)
+
+
+def _report_ready(
+    record: TargetRecord, reporter: str, evidence: timedelta, now: timedelta
+) -> TargetRecord:
+    if record.state is TargetState.READY:
+        return replace(record, accusers=record.accusers - {reporter})
+    held = record.state in (TargetState.SUSPECT, TargetState.LEAVING)
+    if held and now - record.since < hold_of(record):
+        return record
+    return _enter(record, TargetState.READY, evidence)
+
+
+_RULES: dict[Signal, Rule] = {
+    Signal.ANSWER: _answer,
+    Signal.DRAINING: _draining,
+    Signal.REFUSED: _refused,
+    Signal.SILENCE: _silence,
+    Signal.HEALTH_READY: _health_ready,
+    Signal.HEALTH_STARTING: _health_starting,
+    Signal.PROBE_SILENCE: _probe_silence,
+}
--- /dev/null
+++ b/laburnumhatch/membership/tests/test_target_health.py
@@ -0,0 +1,170 @@
+"""Tests of the targets' states as several instances share them."""
+
+from datetime import timedelta
+
+import pytest
+from twisted.internet.defer import succeed
+
+from ...links.tests.conftest import Network
+from ...routing import Service, Snapshot, Target
+from ..interfaces import TargetState
+from ..messages import MEMBERSHIP_MESSAGES
+from ..probe import ProbeOutcome
+from ..target_health import TargetHealth
+from ..target_record import Signal
+from .conftest import make_instance
+
+# After this time no instance sends new work to a target that leaves.
+LEAVING_SECONDS = 3
+NAMES = ("a", "b", "c", "d")
+ALL = dict.fromkeys(NAMES, True)
+NONE = dict.fromkeys(NAMES, False)
+
+
+class Fleet:
+    """Instances that watch the targets of one service."""
+
+    def __init__(self, clock, targets=3):
+        self.network = Network(clock, MEMBERSHIP_MESSAGES)
+        self.signal = Signal.HEALTH_READY
+        self.probes = []
+        self.health = {}
+        servers = tuple(Target(f"t-{n}", "127.0.0.1", n + 1, "lade") for n in range(targets))
+        self.snapshot = Snapshot(1, "", (Service("lofts", (), servers, 2, 100, None, None),))
+        for name in NAMES:
+            self.add(name)
+        self.network.mesh()
+        self.network.run(1.5)
+
+    def add(self, name):
+        """Add an instance."""
+
+        async def probe(target):
+            self.probes.append((name, target.name))
+            return await succeed(ProbeOutcome(self.signal))
+
+        self.health[name] = TargetHealth(
+            clock=self.network.clock,
+            own=name,
+            links=self.network.add(name),
+            instances=self,
+            probe=probe,
+            jitter=lambda: 0.0,
+        )
+        self.health[name].follow(self.snapshot)
+        self.health[name].start()
+
+    def live(self):
+        """Return all instances."""
+        return tuple(make_instance(name) for name in sorted(self.health))
+
+    def take_work(self, target="t-1"):
+        """Return for each instance whether it sends new work to a target."""
+        return {name: one.takes_new_work("lofts", target) for name, one in self.health.items()}
+
+
+@pytest.fixture
+def fleet(clock):
+    """Four instances and three ready targets."""
+    return Fleet(clock)
+
+
+def test_drain_answer_reaches_all_though_health_says_ready(fleet):
+    fleet.health["a"].note_draining("lofts", "t-1")
+    for _ in range(9):
+        fleet.network.run(1)
+        for health in fleet.health.values():
+            health.note_answer("lofts", "t-1")
+        assert fleet.take_work() == NONE
+    assert fleet.take_work("t-0") == ALL
+
+
+def test_drain_on_the_health_endpoint_reaches_all(fleet):
+    fleet.signal = Signal.DRAINING
+    fleet.network.run(LEAVING_SECONDS)
+    assert fleet.take_work() == NONE
+
+
+def test_drain_is_learned_after_a_broken_stream(fleet):
+    fleet.network.isolate("d")
+    fleet.health["a"].note_draining("lofts", "t-1")
+    fleet.network.run(5)
+    assert fleet.take_work()["d"]
+    fleet.network.rejoin("d")
+    fleet.network.run(LEAVING_SECONDS)
+    assert fleet.take_work() == NONE
+
+
+def test_restarted_target_takes_work_again(fleet):
+    fleet.health["a"].note_draining("lofts", "t-1")
+    fleet.network.run(1)
+    fleet.signal = Signal.REFUSED
+    fleet.network.run(2)
+    states = {one.state("lofts", "t-1") for one in fleet.health.values()}
+    assert states == {TargetState.GONE}
+    fleet.signal = Signal.HEALTH_STARTING
+    fleet.network.run(2)
+    assert fleet.take_work() == NONE
+    fleet.signal = Signal.HEALTH_READY
+    fleet.network.run(2)
+    assert fleet.take_work() == ALL
+
+
+def test_frozen_target_is_suspect_everywhere_in_time(fleet):
+    fleet.signal = Signal.PROBE_SILENCE
+    fleet.network.run(2)
+    assert fleet.take_work() == NONE
+
+
+def test_one_instance_with_a_broken_path_does_not_suspend_a_target(fleet):
+    for _ in range(2):
+        fleet.health["a"].note_silence("lofts", "t-1")
+    fleet.network.deliver()
+    assert fleet.take_work() == ALL | {"a": False}
+
+
+def test_each_target_is_probed_by_two_instances(fleet):
+    fleet.probes.clear()
+    fleet.network.run(10)
+    probers = {t: {n for n, probed in fleet.probes if probed == t} for _, t in fleet.probes}
+    assert {target: len(names) for target, names in probers.items()} == {
+        "t-0": 2,
+        "t-1": 2,
+        "t-2": 2,
+    }
+    # Two probers of three targets, each about twice a second.
+    assert len(fleet.probes) <= 2 * 3 * 2.5 * 10
+
+
+def test_targets_of_a_lost_prober_are_probed_by_another(fleet):
+    for name in NAMES[1:]:
+        fleet.health.pop(name).stop()
+    fleet.probes.clear()
+    fleet.network.run(3)
+    assert {target for _, target in fleet.probes} == {"t-0", "t-1", "t-2"}
+
+
+def test_target_with_a_new_address_counts_as_ready(fleet):
+    fleet.health["a"].note_connection_refused("lofts", "t-1")
+    fleet.health["a"].note_connection_refused("lofts", "t-0")
+    service = fleet.snapshot.services[0]
+    moved = tuple(
+        Target(t.name, t.host, 99 if t.name == "t-1" else t.port, t.data_centre)
+        for t in service.targets
+    )
+    services = (Service("lofts", (), moved, 2, 100, None, None),)
+    fleet.health["a"].follow(Snapshot(2, "", services))
+    assert fleet.health["a"].state("lofts", "t-1") is TargetState.READY
+    assert fleet.health["a"].state("lofts", "t-0") is TargetState.GONE
+    assert fleet.health["a"].state("lofts", "t-9") is TargetState.SUSPECT
+
+
+def test_reports_refused_by_a_full_stream_are_sent_later(fleet):
+    links = fleet.network.links["a"]
+    send, refused = links.send, []
+    links.send = lambda instance, message: refused.append(instance) or False
+    fleet.health["a"].note_draining("lofts", "t-1")
+    links.send = send
+    assert refused and fleet.take_work()["b"]
+    fleet.network.run(timedelta(seconds=LEAVING_SECONDS).total_seconds())
+    assert fleet.take_work() == NONE
--- a/laburnumhatch/platform/http.py
+++ b/laburnumhatch/platform/http.py
@@ -5,7 +5,7 @@
 
 import treq
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectionRefusedError
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
@@ -28,9 +28,17 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection was made, so the server did not see the call."""
+    """No connection was made, so the server did not see the call.
+
+    Attributes
+    ----------
+    reason : str
+    refused : bool
+        Whether the machine answered that nothing listens there.
+    """
 
     reason: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +76,7 @@
         try:
             return await call
         except ConnectError as e:
-            return NotSent(f"{url}: {e}")
+            return NotSent(f"{url}: {e}", isinstance(e, ConnectionRefusedError))
         except CancelledError:
             return ReplyLost(f"{url}: no answer within {CALL_TIMEOUT}")
         except Exception as e:
--- a/laburnumhatch/settings/__init__.py
+++ b/laburnumhatch/settings/__init__.py
@@ -1,7 +1,7 @@
 """Settings documents and their checks."""
 
 from .document import CheckedModel, DocumentError, parse_document, read_document
-from .instance import InstanceSettings, ListenAddress, PlatformAddresses
+from .instance import InstanceSettings, ListenAddress, PlatformAddresses, SeedInstance
 
 __all__ = [
     "CheckedModel",
@@ -9,6 +9,7 @@
     "InstanceSettings",
     "ListenAddress",
     "PlatformAddresses",
+    "SeedInstance",
     "parse_document",
     "read_document",
 ]
--- a/laburnumhatch/settings/instance.py
+++ b/laburnumhatch/settings/instance.py
@@ -7,7 +7,7 @@
 
 from .document import CheckedModel
 
-__all__ = ["InstanceSettings", "ListenAddress", "PlatformAddresses"]
+__all__ = ["InstanceSettings", "ListenAddress", "PlatformAddresses", "SeedInstance"]
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 IP_NUMBER = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"
@@ -28,6 +28,15 @@
     instance_list: str
 
 
+class SeedInstance(CheckedModel):
+    """An entry instance that is known beforehand: its name and where it accepts its peers."""
+
+    name: str = Field(min_length=1)
+    host: str = Field(pattern=IP_NUMBER)
+    port: Port
+    data_centre: str = Field(min_length=1)
+
+
 class InstanceSettings(CheckedModel):
     """Settings of the entry daemon.
 
@@ -41,6 +50,8 @@
     platform : PlatformAddresses
     peer_key : str
         Secret that entry instances share, at least 16 characters.
+    seeds : tuple of SeedInstance
+        Instances to reach even while the platform's list can't be read.
     advertise_host : str
         IP number by which other instances reach this one.
     unready_before_close : timedelta
@@ -61,6 +72,7 @@
     admin: ListenAddress
     platform: PlatformAddresses
     peer_key: str = Field(min_length=16)
+    seeds: tuple[SeedInstance, ...] = ()
     advertise_host: str = Field(default="127.0.0.1", pattern=IP_NUMBER)
     unready_before_close: timedelta = timedelta(seconds=2)
     stop_within: timedelta = timedelta(seconds=30)
