--- a/laburnumhatch/configuration/messages.py
+++ b/laburnumhatch/configuration/messages.py
@@ -36,4 +36,8 @@
     content: bytes
 
 
-CONFIGURATION_MESSAGES = (48, (ConfigurationAnnouncement, SnapshotRequest, SnapshotPart))
+CONFIGURATION_MESSAGES: tuple[type, ...] = (
+    ConfigurationAnnouncement,
+    SnapshotRequest,
+    SnapshotPart,
+)
--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -9,17 +9,10 @@
 
 from ..balancing import TwoChoices
 from ..clocks import Clock
-from ..configuration import CONFIGURATION_MESSAGES, ConfigurationFollower
-from ..links import LINK_MESSAGES, Codec, PeerLinks
-from ..membership import (
-    MEMBERSHIP_MESSAGES,
-    Instance,
-    InstanceDirectory,
-    TargetHealth,
-    http_probe,
-)
+from ..configuration import ConfigurationFollower
+from ..links import PeerLinks
+from ..membership import Instance, InstanceDirectory, TargetHealth, http_probe
 from ..ownership import OwnershipKeeper
-from ..ownership.messages import OWNERSHIP_MESSAGES
 from ..planning import plan_moves
 from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
 from ..requests import RequestPath
@@ -28,12 +21,10 @@
 from ..settings import InstanceSettings, ListenAddress
 from .admin import AdminPages, build_admin_site
 from .lifecycle import LifecycleActions, build_lifecycle
+from .messages import build_codec
 
 __all__ = ["EntryInstance"]
 
-# First number of the messages about ownership; a type's number is its place after it.
-OWNERSHIP_NUMBER = 64
-
 _log = logbook.Logger("laburnumhatch.entry")
 
 
@@ -57,6 +48,7 @@
         self._matcher: Matcher | None = None
         self._registry = Registry()
         self._ports: dict[str, Any] = {}
+        self._peer_port = 0
         self._lifecycle = build_lifecycle(
             LifecycleActions(self._become_unready, self._close_port, self._hand_over, exit)
         )
@@ -67,7 +59,8 @@
     @property
     def ports(self) -> dict[str, int]:
         """The ports that are open, by name."""
-        return {name: port.getHost().port for name, port in self._ports.items()}
+        listening = {name: port.getHost().port for name, port in self._ports.items()}
+        return {**listening, "peers": self._peer_port}
 
     def start(self) -> None:
         """Open the ports and begin to follow the platform and the peers."""
@@ -137,16 +130,16 @@
         self._links = PeerLinks(
             reactor=self._reactor,
             clock=self._clock,
-            codec=_build_codec(),
+            codec=build_codec(),
             own=settings.name,
             shared_key=settings.peer_key,
         )
         # The others are told this port, which the system may choose.
-        self._listen("peers", settings.peers, self._links.factory())
+        self._peer_port = self._links.listen(settings.peers.host, settings.peers.port)
         own = Instance(
             settings.name,
             settings.advertise_host,
-            self.ports["peers"],
+            self._peer_port,
             settings.admin.port,
             settings.data_centre,
         )
@@ -245,20 +238,7 @@
         self._targets.stop()
         stopped = Deferred.fromCoroutine(self._ownership.stop())
         stopped.addErrback(lambda f: _log.error("hand-over failed: {}", f.getTraceback()))
-        stopped.addBoth(lambda _: self._close_links())
+        # Until then the others must hear that this instance is alive.
+        stopped.addBoth(lambda _: self._instances.stop())
+        stopped.addBoth(lambda _: self._links.stop())
         stopped.addBoth(lambda _: self._lifecycle.handed_over())
-
-    def _close_links(self) -> None:
-        self._instances.stop()
-        self._ports.pop("peers").stopListening()
-        self._links.stop()
-
-
-def _build_codec() -> Codec:
-    families = [
-        LINK_MESSAGES,
-        MEMBERSHIP_MESSAGES,
-        CONFIGURATION_MESSAGES,
-        (OWNERSHIP_NUMBER, OWNERSHIP_MESSAGES),
-    ]
-    return Codec(families)
--- a/laburnumhatch/links/tests/conftest.py
+++ b/laburnumhatch/links/tests/conftest.py
@@ -27,9 +27,9 @@
 class Network:
     """Connects instances in memory."""
 
-    def __init__(self, clock, *families):
+    def __init__(self, clock, message_types=()):
         self.clock = clock
-        self.families = [LINK_MESSAGES, (100, (Note,)), *families]
+        self.families = [LINK_MESSAGES, (100, (Note, *message_types))]
         self.links = {}
         self.received = {}
         self.pumps = {}
--- a/laburnumhatch/membership/messages.py
+++ b/laburnumhatch/membership/messages.py
@@ -49,4 +49,4 @@
     age: timedelta
 
 
-MEMBERSHIP_MESSAGES = (32, (Introduction, Heartbeat, TargetReport))
+MEMBERSHIP_MESSAGES: tuple[type, ...] = (Introduction, Heartbeat, TargetReport)
