--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -10,8 +10,8 @@
 from ..balancing import TwoChoices
 from ..clocks import Clock
 from ..configuration import ConfigurationFollower
-from ..links import PeerAddress, PeerLinks
-from ..membership import Instance, InstanceDirectory, TargetHealth
+from ..links import PeerLinks
+from ..membership import Instance, InstanceDirectory, TargetHealth, http_probe
 from ..ownership import OwnershipKeeper
 from ..planning import plan_moves
 from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
@@ -66,8 +66,6 @@
         """Open the ports and begin to follow the platform and the peers."""
         self._listen("callers", self._settings.callers, self._path.factory())
         self._listen("admin", self._settings.admin, self._admin_site())
-        peers = self._settings.peers
-        self._peer_port = self._links.listen(peers.host, peers.port)
         self._instances.start()
         self._targets.start()
         self._ownership.start()
@@ -104,6 +102,7 @@
             },
             "instances": [instance.name for instance in self._instances.live()],
             "links": list(self._links.connected()),
+            "targets": self._targets.describe(),
             "ownership": self._ownership.status(),
             "in_flight": self._path.in_flight,
         }
@@ -128,13 +127,6 @@
 
     def _build_membership(self) -> None:
         settings = self._settings
-        own = Instance(
-            settings.name,
-            settings.advertise_host,
-            settings.peers.port,
-            settings.admin.port,
-            settings.data_centre,
-        )
         self._links = PeerLinks(
             reactor=self._reactor,
             clock=self._clock,
@@ -142,17 +134,36 @@
             own=settings.name,
             shared_key=settings.peer_key,
         )
+        # The others are told this port, which the system may choose.
+        self._peer_port = self._links.listen(settings.peers.host, settings.peers.port)
+        own = Instance(
+            settings.name,
+            settings.advertise_host,
+            self._peer_port,
+            settings.admin.port,
+            settings.data_centre,
+        )
         self._instances = InstanceDirectory(
             clock=self._clock,
             instance_list=self._instance_list,
             own=own,
-            on_change=self._use_instances,
+            links=self._links,
+            seeds=[Instance(s.name, s.host, s.port, 0, s.data_centre) for s in settings.seeds],
+        )
+        self._targets = TargetHealth(
+            clock=self._clock,
+            own=settings.name,
+            links=self._links,
+            instances=self._instances,
+            probe=http_probe(HttpClient(self._reactor, self._clock), self._clock),
         )
-        self._targets = TargetHealth()
         self._configuration = ConfigurationFollower(
             clock=self._clock,
             table=self._table,
             object_store=self._object_store,
+            links=self._links,
+            instances=self._instances,
+            own=own,
             on_change=self._use_snapshot,
         )
 
@@ -204,9 +215,6 @@
             address.port, factory, interface=address.host, backlog=512
         )
 
-    def _use_instances(self, live: tuple[Instance, ...]) -> None:
-        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in live)
-
     def _use_snapshot(self, snapshot: Snapshot) -> None:
         self._targets.follow(snapshot)
         self._ownership.use_snapshot(snapshot)
@@ -214,6 +222,7 @@
 
     def _become_unready(self) -> None:
         _log.info("stopping: not ready from now on")
+        self._instances.announce_leaving()
         settings = self._settings
         self._clock.call_later(settings.unready_before_close, self._lifecycle.notice_over)
         self._clock.call_later(settings.stop_within, self._lifecycle.time_is_up)
@@ -227,8 +236,9 @@
     def _hand_over(self) -> None:
         self._configuration.stop()
         self._targets.stop()
-        self._instances.stop()
         stopped = Deferred.fromCoroutine(self._ownership.stop())
         stopped.addErrback(lambda f: _log.error("hand-over failed: {}", f.getTraceback()))
+        # Until then the others must hear that this instance is alive.
+        stopped.addBoth(lambda _: self._instances.stop())
         stopped.addBoth(lambda _: self._links.stop())
         stopped.addBoth(lambda _: self._lifecycle.handed_over())
