Wait for a publication everywhere, and compare files with what is in force

publish and rollback wait until each listed instance reports the version and name those that do not; diff shows what would change.

--- a/laburnumhatch/commands/check.py
+++ b/laburnumhatch/commands/check.py
@@ -22,10 +22,10 @@
 def render_collected(collected: Iterable[CollectedFile]) -> str:
     """Return one line for each service."""
     lines = [_line(found.service) for found in collected]
-    return "\n".join([*lines, f"{len(lines)} services, no problems"])
+    return "\n".join([*lines, f"services: {len(lines)}, no problems"])
 
 
 def _line(service: Service) -> str:
     ownership = service.ownership
-    owned = f"{ownership.slot_count} owned slots" if ownership else "no owners"
-    return f"{service.name}: {len(service.targets)} targets, {len(service.kinds)} kinds, {owned}"
+    owned = f"owned slots {ownership.slot_count}" if ownership else "no owners"
+    return f"{service.name}: targets {len(service.targets)}, kinds {len(service.kinds)}, {owned}"
--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -3,6 +3,7 @@
 import click
 
 from .check import check
+from .diff import diff
 from .entry import entry
 from .explain import explain
 from .publish import publish
@@ -18,5 +19,5 @@
     """Route keyed requests to the servers that own their keys."""
 
 
-for command in (check, entry, explain, publish, rollback, standin, status):
+for command in (check, diff, entry, explain, publish, rollback, standin, status):
     main.add_command(command)
--- a/laburnumhatch/commands/outcome.py
+++ b/laburnumhatch/commands/outcome.py
@@ -1,6 +1,8 @@
 """How a publication's outcome is shown and what the command ends with."""
 
 from ..configuration import (
+    InForce,
+    NotInForce,
     PublishConflict,
     Published,
     PublishFailed,
@@ -9,17 +11,17 @@
 )
 from .exit_codes import ExitCode
 
-__all__ = ["PublishOutcome", "exit_code_of", "render_outcome"]
+__all__ = ["PublishOutcome", "exit_code_of", "render_outcome", "render_reach"]
 
 PublishOutcome = Published | PublishConflict | PublishFailed | PublishUnknown | VersionUnknown
 DIGEST_LENGTH = 12
 
 
-def exit_code_of(outcome: PublishOutcome) -> ExitCode:
-    """Return the exit code of a publication."""
+def exit_code_of(outcome: PublishOutcome, reach: InForce | NotInForce | None) -> ExitCode:
+    """Return the exit code of a publication and of how far it has come."""
     match outcome:
         case Published():
-            return ExitCode.DONE
+            return ExitCode.NOT_EVERYWHERE if isinstance(reach, NotInForce) else ExitCode.DONE
         case PublishConflict():
             return ExitCode.CONFLICT
         case PublishFailed():
@@ -61,5 +63,20 @@
             return f"version {version} can't be rolled back to; known versions: {versions}"
 
 
+def render_reach(reach: InForce | NotInForce) -> str:
+    """Return which instances report the version, and which don't.
+
+    Examples
+    --------
+    >>> render_reach(InForce(3, ("entry-1", "entry-2")))
+    'reported by entry-1, entry-2'
+    """
+    reported = f"reported by {', '.join(reach.instances) or 'no instance'}"
+    if isinstance(reach, InForce):
+        return reported
+    lines = [f"  {laggard.instance}: {laggard.reason}" for laggard in reach.laggards]
+    return "\n".join([f"not everywhere yet: {reach.reason}; {reported}", *lines])
+
+
 def _short(digest: str) -> str:
     return digest[:DIGEST_LENGTH]
--- a/laburnumhatch/commands/publish.py
+++ b/laburnumhatch/commands/publish.py
@@ -1,11 +1,6 @@
 """The command ``publish``."""
 
-import getpass
-import json
-import sys
-from dataclasses import asdict
 from pathlib import Path
-from typing import Any
 
 import click
 
@@ -18,20 +13,10 @@
     read_settings,
     settings_option,
 )
-from .coroutines import run_on_reactor
-from .outcome import PublishOutcome, exit_code_of, render_outcome
+from .outcome import PublishOutcome
+from .publishing import publisher_option, put_into_force, wait_option
 
-__all__ = ["publish", "publisher_option", "show_outcome"]
-
-
-def publisher_option(command: Any) -> Any:
-    """Add the option ``--publisher``."""
-    return click.option(
-        "--publisher",
-        default=getpass.getuser,
-        show_default="the user's name",
-        help="Who publishes, for the other operators.",
-    )(command)
+__all__ = ["publish"]
 
 
 @click.command()
@@ -43,20 +28,21 @@
     type=click.IntRange(0),
     help="Version that the files are based on; another one in force is a conflict.",
 )
+@wait_option
 @json_option
 def publish(
     directories: tuple[Path, ...],
     settings_path: Path,
     publisher: str,
     expected_version: int | None,
+    wait_s: float,
     as_json: bool,
 ) -> None:
     """Put the routing files under DIR... into force, all together."""
     collected = read_routing_files(directories)
     settings = read_settings(settings_path)
 
-    async def run(reactor: Any) -> PublishOutcome:
-        clients = PlatformClients(reactor, settings.platform)
+    async def change(clients: PlatformClients) -> PublishOutcome:
         return await publish_files(
             [found.file for found in collected],
             clock=clients.clock,
@@ -66,14 +52,4 @@
             expected_version=expected_version,
         )
 
-    show_outcome(run_on_reactor(run), as_json)
-
-
-def show_outcome(outcome: PublishOutcome, as_json: bool) -> None:
-    """Print an outcome and end the command with its exit code."""
-    code = exit_code_of(outcome)
-    if as_json:
-        click.echo(json.dumps({"outcome": type(outcome).__name__, **asdict(outcome)}))
-    else:
-        click.echo(render_outcome(outcome), err=code != 0)
-    sys.exit(code)
+    put_into_force(change, settings, wait_s, as_json)
--- /dev/null
+++ b/laburnumhatch/commands/publishing.py
@@ -0,0 +1,99 @@
+"""What ``publish`` and ``rollback`` share: the change, the wait for it, and what is shown."""
+
+import getpass
+import json
+import sys
+from collections.abc import Callable, Coroutine
+from dataclasses import asdict
+from datetime import timedelta
+from typing import Any
+
+import click
+
+from ..configuration import (
+    InForce,
+    NotInForce,
+    Published,
+    await_in_force,
+    http_reported_version,
+)
+from ..settings import InstanceSettings
+from .arguments import PlatformClients
+from .coroutines import run_on_reactor
+from .outcome import PublishOutcome, exit_code_of, render_outcome, render_reach
+
+__all__ = ["publisher_option", "put_into_force", "wait_option"]
+
+Change = Callable[[PlatformClients], Coroutine[Any, Any, PublishOutcome]]
+Command = Callable[..., Any]
+WAIT_S = 10.0
+
+
+def publisher_option(command: Command) -> Command:
+    """Add the option ``--publisher``."""
+    return click.option(
+        "--publisher",
+        default=getpass.getuser,
+        show_default="the user's name",
+        help="Who publishes, for the other operators.",
+    )(command)
+
+
+def wait_option(command: Command) -> Command:
+    """Add the option ``--wait-s``."""
+    return click.option(
+        "--wait-s",
+        default=WAIT_S,
+        show_default=True,
+        type=click.FloatRange(0.0),
+        help="Longest wait, in seconds, for all listed instances to report the version.",
+    )(command)
+
+
+def put_into_force(
+    change: Change, settings: InstanceSettings, wait_s: float, as_json: bool
+) -> None:
+    """Make a change, wait until the instances report it, and end with the exit code.
+
+    Parameters
+    ----------
+    change : callable
+        Takes the platform's clients and makes the change.
+    settings : InstanceSettings
+    wait_s : float
+        Longest wait, seconds.
+    as_json : bool
+    """
+
+    async def run(reactor: Any) -> tuple[PublishOutcome, InForce | NotInForce | None]:
+        clients = PlatformClients(reactor, settings.platform)
+        outcome = await change(clients)
+        if not isinstance(outcome, Published):
+            return outcome, None
+        return outcome, await _reach(clients, outcome.version, timedelta(seconds=wait_s))
+
+    outcome, reach = run_on_reactor(run)
+    code = exit_code_of(outcome, reach)
+    if as_json:
+        click.echo(json.dumps(_document(outcome, reach)))
+    else:
+        lines = [render_outcome(outcome)] + ([render_reach(reach)] if reach else [])
+        click.echo("\n".join(lines), err=code != 0)
+    sys.exit(code)
+
+
+async def _reach(clients: PlatformClients, version: int, within: timedelta) -> InForce | NotInForce:
+    return await await_in_force(
+        version,
+        clock=clients.clock,
+        instance_list=clients.instance_list,
+        reported_version=http_reported_version(clients.http),
+        within=within,
+    )
+
+
+def _document(outcome: PublishOutcome, reach: InForce | NotInForce | None) -> dict[str, Any]:
+    document = {"outcome": type(outcome).__name__, **asdict(outcome)}
+    if reach is not None:
+        document["reach"] = {"outcome": type(reach).__name__, **asdict(reach)}
+    return document
--- a/laburnumhatch/commands/rollback.py
+++ b/laburnumhatch/commands/rollback.py
@@ -1,15 +1,13 @@
 """The command ``rollback``."""
 
 from pathlib import Path
-from typing import Any
 
 import click
 
 from ..configuration import rollback as rollback_to
 from .arguments import PlatformClients, json_option, read_settings, settings_option
-from .coroutines import run_on_reactor
 from .outcome import PublishOutcome
-from .publish import publisher_option, show_outcome
+from .publishing import publisher_option, put_into_force, wait_option
 
 __all__ = ["rollback"]
 
@@ -18,13 +16,15 @@
 @click.argument("version", type=click.IntRange(1))
 @settings_option(required=True)
 @publisher_option
+@wait_option
 @json_option
-def rollback(version: int, settings_path: Path, publisher: str, as_json: bool) -> None:
+def rollback(
+    version: int, settings_path: Path, publisher: str, wait_s: float, as_json: bool
+) -> None:
     """Put the files of VERSION into force again, as a new and higher version."""
     settings = read_settings(settings_path)
 
-    async def run(reactor: Any) -> PublishOutcome:
-        clients = PlatformClients(reactor, settings.platform)
+    async def change(clients: PlatformClients) -> PublishOutcome:
         return await rollback_to(
             version,
             clock=clients.clock,
@@ -33,4 +33,4 @@
             publisher=publisher,
         )
 
-    show_outcome(run_on_reactor(run), as_json)
+    put_into_force(change, settings, wait_s, as_json)
--- /dev/null
+++ b/laburnumhatch/commands/tests/test_rendering.py
@@ -0,0 +1,145 @@
+"""Tests of the commands' output for people, and of their complaints about bad input."""
+
+import pytest
+from click.testing import CliRunner
+
+from ...configuration import (
+    Change,
+    ChangeKind,
+    Comparison,
+    InForce,
+    Laggard,
+    NotInForce,
+    PublishConflict,
+    Published,
+    PublishFailed,
+    PublishUnknown,
+    VersionUnknown,
+)
+from ..diff import render_comparison
+from ..exit_codes import ExitCode
+from ..explain import render_explanation
+from ..main import main
+from ..outcome import exit_code_of, render_outcome, render_reach
+from ..status import render_status
+
+DIGEST = "0123456789abcdef" * 4
+STATUS = {
+    "instance": "entry-1",
+    "data_centre": "lade",
+    "state": "serving",
+    "ready": True,
+    "reasons": [],
+    "configuration": {"version": 7, "digest": DIGEST, "problem": None},
+    "instances": ["entry-1", "entry-2"],
+    "links": ["entry-2"],
+    "ownership": {"loft-availability": {"coordinator": "entry-2", "row_version": 12}},
+    "in_flight": 3,
+}
+UNREADY = {
+    **STATUS,
+    "state": "unready",
+    "ready": False,
+    "reasons": ["the instance is unready"],
+    "configuration": {"version": 0, "digest": "", "problem": "nothing is published"},
+    "instances": [],
+    "links": [],
+    "ownership": {},
+}
+OWNED = {
+    "instance": "entry-1",
+    "configuration_version": 7,
+    "service": "loft-availability",
+    "key": "rosa",
+    "slot": 12,
+    "owner": "loft-3",
+    "epoch": 4,
+    "coordinator": "entry-2",
+}
+REACHED = InForce(7, ("entry-1", "entry-2"))
+LAGGING = NotInForce(7, ("entry-1",), (Laggard("entry-2", "version 6 is in force"),), "1 of 2")
+VALID = """{"service": "lofts", "targets": {"slots": 2, "servers": [
+  {"name": "loft-1", "host": "127.0.0.1", "port": 9001, "data_centre": "lade"}]},
+  "kinds": {"view": {"method": "GET", "path": "/lofts/{loft}", "deadline_ms": 500}}}"""
+
+
+@pytest.mark.parametrize("document", [STATUS, UNREADY], ids=["ready", "unready"])
+def test_status(document, snapshot):
+    assert render_status(document) == snapshot
+
+
+@pytest.mark.parametrize(
+    "document", [OWNED, {**OWNED, "owner": None, "why": "the key is moving"}], ids=["owned", "not"]
+)
+def test_explanation(document, snapshot):
+    assert render_explanation(document) == snapshot
+
+
+def test_comparison(snapshot):
+    changes = (
+        Change(ChangeKind.ADDED, "lofts.kinds.hold"),
+        Change(ChangeKind.REMOVED, "lofts.targets.loft-3"),
+        Change(ChangeKind.CHANGED, "lofts.kinds.view.deadline_ms", "500", "800"),
+    )
+    assert render_comparison(Comparison(7, changes)) == snapshot
+    assert render_comparison(Comparison(0, ())) == snapshot
+
+
+@pytest.mark.parametrize(
+    ("outcome", "reach", "code"),
+    [
+        (Published(7, DIGEST), REACHED, ExitCode.DONE),
+        (Published(7, DIGEST, changed=False), LAGGING, ExitCode.NOT_EVERYWHERE),
+        (PublishConflict(6, "ana", DIGEST, DIGEST[::-1]), None, ExitCode.CONFLICT),
+        (PublishFailed("the table is down"), None, ExitCode.PLATFORM_UNAVAILABLE),
+        (PublishUnknown(7, DIGEST, "no answer"), None, ExitCode.OUTCOME_UNKNOWN),
+        (VersionUnknown(9, (1, 2)), None, ExitCode.BAD_INPUT),
+    ],
+    ids=lambda value: type(value).__name__,
+)
+def test_outcome(outcome, reach, code, snapshot):
+    assert exit_code_of(outcome, reach) == code
+    assert [render_outcome(outcome), reach and render_reach(reach)] == snapshot
+
+
+@pytest.mark.parametrize(
+    ("replaced", "by", "named"),
+    [
+        ('"slots": 2', '"slots": 0', "field targets.slots"),
+        ('"deadline_ms": 500', '"deadline": 500', "field kinds.view.deadline"),
+        ('"kinds"', "kinds:", "line 3"),
+        ('"GET"', '"get"', "field kinds.view.method"),
+        ("127.0.0.1", "localhost", "field targets.servers.0.host"),
+    ],
+)
+def test_bad_routing_file_is_named_with_its_field_or_line(tmp_path, replaced, by, named):
+    path = tmp_path / "lofts.routing.json"
+    path.write_text(VALID.replace(replaced, by))
+    result = CliRunner().invoke(main, ["check", str(tmp_path)])
+    assert result.exit_code == ExitCode.BAD_INPUT
+    assert f"{path}: {named}" in result.stderr
+
+
+def test_good_routing_file_passes(tmp_path, snapshot):
+    (tmp_path / "lofts.routing.json").write_text(VALID)
+    result = CliRunner().invoke(main, ["check", str(tmp_path)])
+    assert (result.exit_code, result.output) == (0, snapshot)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "named"),
+    [
+        (["status"], "--admin HOST:PORT"),
+        (["status", "--admin", "entry-1"], "'entry-1'"),
+        (["check"], "DIR..."),
+        (["check", "nowhere"], "'nowhere'"),
+        (["publish", "."], "--settings"),
+        (["rollback", "0", "--settings", "x"], "VERSION"),
+        (["standin", "upstream", "--service", "s", "--name", "n", "--work-ms", "-1"], "--work-ms"),
+        (["entry", "--settings", "nowhere.json"], "nowhere.json: can't be read"),
+    ],
+)
+def test_bad_arguments_are_named(arguments, named):
+    result = CliRunner().invoke(main, arguments)
+    assert result.exit_code == ExitCode.BAD_INPUT
+    assert named in result.stderr
--- a/laburnumhatch/conftest.py
+++ b/laburnumhatch/conftest.py
@@ -4,10 +4,12 @@
 
 import pytest
 from hypothesis import settings
-from twisted.internet import task
+from twisted.internet import reactor, task
 
-from .clocks import ReactorClock
+from .clocks import ReactorClock, boot_seconds
 from .platform.memory import MemoryInstanceList, MemoryObjectStore, MemoryTable
+from .standins.caller import Caller
+from .standins.processes import ProcessGroup
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.load_profile("repeatable")
@@ -47,3 +49,22 @@
 def instance_list() -> MemoryInstanceList:
     """An empty list of instances."""
     return MemoryInstanceList()
+
+
+@pytest.fixture
+def real_clock() -> ReactorClock:
+    """The clock of the machine."""
+    return ReactorClock(reactor, boot_seconds)
+
+
+@pytest.fixture
+def processes(real_clock, tmp_path):
+    """Child processes, ended by their ids after the test."""
+    with ProcessGroup(real_clock, tmp_path) as group:
+        yield group
+
+
+@pytest.fixture
+def caller(real_clock) -> Caller:
+    """A caller over real connections."""
+    return Caller(reactor, real_clock)
--- a/laburnumhatch/standins/deployment.py
+++ b/laburnumhatch/standins/deployment.py
@@ -139,6 +139,7 @@
             "object_store": f"{self.platform_url}/objects",
             "instance_list": f"{self.platform_url}/instances",
         }
+        settings["seeds"] = []
         settings["unready_before_close"] = UNREADY_BEFORE_CLOSE.total_seconds()
         self.settings_path(name).write_text(json.dumps(settings), encoding="utf-8")
 
@@ -161,6 +162,7 @@
     entry_names: Sequence[str],
     *,
     checks_fencing: bool = False,
+    services: frozenset[str] | None = None,
     separate: frozenset[str] = frozenset(),
     work_ms: float = 1.0,
 ) -> Deployment:
@@ -176,6 +178,8 @@
         Instances to start, by the example's settings.
     checks_fencing : bool, optional
         Whether servers that own keys check fencing tokens.
+    services : frozenset of str, optional
+        Services to start; all by default.
     separate : frozenset of str, optional
         Services whose targets get a process each; the others share one for each service.
     work_ms : float, optional
@@ -183,7 +187,9 @@
     """
     platform = processes.launch("platform", "standin", "platform")
     deployment = Deployment(processes, caller, example, platform)
-    files = _read_files(example, checks_fencing)
+    files = [
+        f for f in _read_files(example, checks_fencing) if not services or f.service in services
+    ]
     deployment.routing_directory.mkdir()
     for file in files:
         path = deployment.routing_directory / f"{file.service}.routing.json"
