Stream, admit, retry and claim requests, and tell the truth about each

Cause: the thin forwarder held bodies whole, had no deadlines, no queues and one guess about every failure.

Change: a request is handled from its header on; bodies stream both ways with back-pressure; each target has a bounded, deadline-aware queue in each instance; upstream calls go over connections that carry one request at a time and are never used again after a disturbed one; lease and deadline are checked just before the bytes go to the kernel; outcomes are tagged, and a pure function decides on retries under a budget; idempotency keys are claimed in the table before anything is sent.

Ruled out: Twisted's HTTPConnectionPool, since Agent offers no place between the connection and the write where the lease could be checked, and its pool drops bytes that follow an answer.

--- /dev/null
+++ b/laburnumhatch/requests/claims.py
@@ -0,0 +1,172 @@
+"""Claims of idempotency keys in the platform's table."""
+
+import json
+from dataclasses import asdict, dataclass
+from enum import StrEnum
+from typing import Any
+
+import xxhash
+
+from ..platform import Absent, Conflict, OutcomeUnknown, Row, Table, Written
+from ..results import Refusal, ResultCode, Run
+
+__all__ = ["Claim", "ClaimState", "HeldClaim", "claim_key", "claim_request", "settle_claim"]
+
+WRITE_ATTEMPTS = 3
+ROW_PREFIX = "claims"
+
+
+class ClaimState(StrEnum):
+    """What is known of the request that claimed an idempotency key."""
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Value of a claim's row.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of the request's method, path and body.
+    request_id : str
+        The request that holds the claim; the writer identifier of the claiming write.
+    state : ClaimState
+    status : int or None
+        HTTP status of the answer.
+    """
+
+    fingerprint: str
+    request_id: str
+    state: ClaimState
+    status: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """A claim that this instance holds, and the version of its row."""
+
+    row_key: str
+    version: int
+    claim: Claim
+
+
+def claim_key(service: str, kind: str, idempotency_key: str) -> str:
+    """Return the table key of a claim; keys belong to one service and kind.
+
+    Examples
+    --------
+    >>> claim_key("till", "deposit", "a") == claim_key("till", "order", "a")
+    False
+    """
+    digest = xxhash.xxh3_128_hexdigest(idempotency_key.encode())
+    return f"{ROW_PREFIX}/{service}/{kind}/{digest}"
+
+
+async def claim_request(
+    table: Table, row_key: str, fingerprint: str, request_id: str
+) -> HeldClaim | Refusal:
+    """Claim an idempotency key before the request is sent.
+
+    Parameters
+    ----------
+    table : Table
+    row_key : str
+        As from `claim_key`.
+    fingerprint : str
+    request_id : str
+
+    Returns
+    -------
+    HeldClaim or Refusal
+        A refusal says ``run: no`` of this request only where no request with the key ran.
+
+    Notes
+    -----
+    One conditional write. A write of unknown outcome may still take effect later, so it is made
+    again under the same writer identifier until the table says who holds the row: a conflict
+    with a row of this request's own is success. Where the table can't say, the request is not
+    sent, and the claim that may have been written keeps others with this key from running.
+    """
+    claim = Claim(fingerprint, request_id, ClaimState.CLAIMED)
+    expected = 0
+    for _ in range(WRITE_ATTEMPTS):
+        result = await table.write(row_key, _encode(claim), expected, request_id)
+        match result:
+            case Written(version):
+                return HeldClaim(row_key, version, claim)
+            case Conflict(Row(_, version, writer, _)) if writer == request_id:
+                return HeldClaim(row_key, version, claim)
+            case Conflict(Row() as row):
+                found = _decode(row.value)
+                if not _may_be_taken_over(found, fingerprint):
+                    return _refusal_of_other(found, fingerprint)
+                expected = row.version
+            case Conflict(None):
+                expected = 0
+            case OutcomeUnknown():
+                settled = await _read_back(table, row_key, claim)
+                if settled is not None:
+                    return settled
+            case _:
+                return _unavailable()
+    return _unavailable()
+
+
+async def settle_claim(
+    table: Table, held: HeldClaim, state: ClaimState, status: int | None
+) -> None:
+    """Write what became of a claimed request.
+
+    A failure is not tried again: the claim then stays ``claimed``, which refuses a request with
+    the same key truthfully as ``run: unknown``.
+    """
+    claim = Claim(held.claim.fingerprint, held.claim.request_id, state, status)
+    writer = f"{held.claim.request_id}/settle"
+    await table.write(held.row_key, _encode(claim), held.version, writer)
+
+
+async def _read_back(table: Table, row_key: str, claim: Claim) -> HeldClaim | Refusal | None:
+    row = await table.read(row_key)
+    if isinstance(row, Absent) or not isinstance(row, Row):
+        return None
+    if row.writer == claim.request_id:
+        return HeldClaim(row_key, row.version, claim)
+    found = _decode(row.value)
+    if _may_be_taken_over(found, claim.fingerprint):
+        return None
+    return _refusal_of_other(found, claim.fingerprint)
+
+
+def _may_be_taken_over(found: Claim, fingerprint: str) -> bool:
+    return found.state is ClaimState.NOT_RUN and found.fingerprint == fingerprint
+
+
+def _refusal_of_other(found: Claim, fingerprint: str) -> Refusal:
+    if found.fingerprint != fingerprint:
+        detail = "the idempotency key belongs to a different request"
+        return Refusal(ResultCode.IDEMPOTENCY_KEY_IN_USE, detail, run=Run.NO)
+    if found.state is ClaimState.ANSWERED:
+        detail = f"request {found.request_id} with this key was answered {found.status}"
+        return Refusal(ResultCode.IDEMPOTENCY_KEY_IN_USE, detail, run=Run.YES)
+    detail = f"request {found.request_id} with this key was sent, its result is not known"
+    return Refusal(ResultCode.IDEMPOTENCY_KEY_IN_USE, detail, run=Run.UNKNOWN)
+
+
+def _unavailable() -> Refusal:
+    detail = "the table that holds idempotency keys does not answer"
+    return Refusal(ResultCode.CLAIM_UNAVAILABLE, detail)
+
+
+def _encode(claim: Claim) -> bytes:
+    return json.dumps(asdict(claim)).encode()
+
+
+def _decode(value: bytes) -> Claim:
+    fields: dict[str, Any] = json.loads(value)
+    return Claim(
+        fields["fingerprint"], fields["request_id"], ClaimState(fields["state"]), fields["status"]
+    )
--- /dev/null
+++ b/laburnumhatch/requests/context.py
@@ -0,0 +1,216 @@
+"""What all requests of one instance share."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine, Mapping
+from datetime import timedelta
+from typing import Any
+
+import logbook
+from opentelemetry.trace import Tracer
+from twisted.internet.defer import Deferred
+from twisted.web.client import Request as ClientRequest
+from twisted.web.http_headers import Headers
+
+from ..balancing import TargetChooser
+from ..clocks import Clock
+from ..membership import TargetView
+from ..ownership import Owner, OwnershipView
+from ..platform import Table
+from ..routing import Match, Service, Target
+from ..routing.match import Matcher
+from .admission import concurrency_limit
+from .caller import CallerRequest
+from .connections import TargetConnections
+from .history import HistoryHook
+from .metrics import RequestMetrics
+from .relay import DiscardedAnswer
+from .retry import RetryBudget
+from .target_queue import TargetQueue
+
+__all__ = ["RequestContext", "WorkHook"]
+
+CANCEL_TIMEOUT = timedelta(seconds=1)
+CANCELLED_STATUSES = (200, 204)
+IDENTIFIER_BITS = 64
+
+WorkHook = Callable[[Owner, str, timedelta], None]
+
+_log = logbook.Logger("laburnumhatch.requests")
+
+
+class RequestContext:
+    """The collaborators of one instance's requests, and the state that they share.
+
+    Parameters
+    ----------
+    As of `RequestPath`.
+
+    Attributes
+    ----------
+    is_stopping : bool
+        New requests are refused.
+    exchanges : set
+        The requests without a final answer.
+    budget : RetryBudget
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        instance: str,
+        matcher: Callable[[], Matcher | None],
+        ownership: OwnershipView,
+        targets: TargetView,
+        chooser: TargetChooser,
+        claims: Table | None,
+        entry_count: Callable[[], int],
+        metrics: RequestMetrics,
+        tracer: Tracer,
+        history: HistoryHook,
+        work_done: WorkHook,
+        random_source: random.Random,
+        on_idle: Callable[[], None],
+    ) -> None:
+        self.clock = clock
+        self.matcher = matcher
+        self.ownership = ownership
+        self.targets = targets
+        self.chooser = chooser
+        self.claims = claims
+        self.metrics = metrics
+        self.tracer = tracer
+        self.history = history
+        self.work_done = work_done
+        self.random = random_source
+        self.is_stopping = False
+        self.exchanges: set[object] = set()
+        self.budget = RetryBudget(1.0, clock.now())
+        self._reactor = reactor
+        self._entry_count = entry_count
+        self._on_idle = on_idle
+        self._pools: dict[tuple[str, int], TargetConnections] = {}
+        self._queues: dict[tuple[str, str], TargetQueue] = {}
+        self._kind_totals: dict[str, Counter[str]] = {}
+        self._id_prefix = f"{instance}-{random_source.getrandbits(IDENTIFIER_BITS):016x}"
+        self._last_id = 0
+
+    def next_request_id(self) -> str:
+        """Return an identifier that no other request of any instance has."""
+        self._last_id += 1
+        return f"{self._id_prefix}-{self._last_id}"
+
+    def match(self, matcher: Matcher, request: CallerRequest) -> Match | None:
+        """Return the service, kind and key of a request; a HEAD request may match a GET kind."""
+        method = request.method.decode("latin-1")
+        target = request.uri.decode("latin-1")
+        headers = _LazyHeaders(request.requestHeaders)
+        found = matcher(method, target, headers)
+        if found is None and method == "HEAD":
+            return matcher("GET", target, headers)
+        return found
+
+    def limit(self, service: Service) -> int:
+        """Return how many calls this instance makes to one of a service's targets at a time."""
+        entries = self._entry_count()
+        return concurrency_limit(service.target_slots, service.target_connections, entries)
+
+    def pool(self, target: Target) -> TargetConnections:
+        """Return the connections to a target."""
+        address = (target.host, target.port)
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = TargetConnections(self._reactor, self.clock, target.host, target.port)
+            pool.count_unmatched = self._count_unmatched
+            self._pools[address] = pool
+        return pool
+
+    def queue(self, service: str, target: str) -> TargetQueue:
+        """Return the queue of a target."""
+        queue = self._queues.get((service, target))
+        if queue is None:
+            totals = self._kind_totals.setdefault(service, Counter())
+            queue = self._queues[service, target] = TargetQueue(self.clock.now, totals)
+        return queue
+
+    def cancel_upstream(self, target: Target, owner: Owner | None, request_id: str) -> None:
+        """Tell an upstream that nobody waits for a request any more.
+
+        The closed connection says the same; this reaches an upstream that doesn't watch its
+        connections. Only a confirmation proves that the request no longer runs; without one the
+        ownership hears of the end when the lease is over.
+        """
+        self.run_aside(self._cancel(target, owner, request_id))
+
+    def run_aside(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work that no caller waits for; an error is logged."""
+        running = Deferred.fromCoroutine(work)
+        running.addErrback(lambda f: _log.warning("work aside failed: {}", f.getErrorMessage()))
+
+    def exchange_over(self, exchange: object) -> None:
+        """Note that a request has its final answer."""
+        self.exchanges.discard(exchange)
+        if not self.exchanges:
+            self._on_idle()
+
+    def close(self) -> None:
+        """Close the connections to the targets."""
+        for pool in self._pools.values():
+            pool.close()
+
+    async def _cancel(self, target: Target, owner: Owner | None, request_id: str) -> None:
+        asking = Deferred.fromCoroutine(self._ask_to_cancel(target, request_id))
+        timer = self.clock.call_later(CANCEL_TIMEOUT, asking.cancel)
+        try:
+            is_cancelled = await asking
+        except Exception:
+            is_cancelled = False
+        if timer.active():
+            timer.cancel()
+        if owner is None:
+            return
+        if is_cancelled:
+            self.ownership.request_ended(owner)
+            return
+        left = owner.expires - self.clock.now()
+        self.clock.call_later(left, self.ownership.request_ended, owner)
+
+    async def _ask_to_cancel(self, target: Target, request_id: str) -> bool:
+        pool = self.pool(target)
+        connection = pool.take_idle(repeatable=True) or await pool.connect()
+        host = f"{target.host}:{target.port}".encode()
+        request = ClientRequest(
+            b"DELETE", b"/requests/" + request_id.encode(), Headers({b"host": [host]}), None, True
+        )
+        try:
+            response: Any = await connection.request(request)
+        except BaseException:
+            connection.abort_now()
+            raise
+        response.deliverBody(DiscardedAnswer(connection))
+        return response.code in CANCELLED_STATUSES
+
+    def _count_unmatched(self) -> None:
+        self.metrics.dropped_answers["unmatched"] += 1
+
+
+class _LazyHeaders(Mapping[str, str]):
+    """A request's header fields, decoded only where the matcher asks for one."""
+
+    __slots__ = ("_headers",)
+
+    def __init__(self, headers: Headers) -> None:
+        self._headers = headers
+
+    def __getitem__(self, name: str) -> str:
+        values = self._headers.getRawHeaders(name.encode())
+        if not values:
+            raise KeyError(name)
+        return values[-1].decode("latin-1")
+
+    def __iter__(self) -> Any:
+        return (name.decode("latin-1").lower() for name, _ in self._headers.getAllRawHeaders())
+
+    def __len__(self) -> int:
+        return len(list(self._headers.getAllRawHeaders()))
--- /dev/null
+++ b/laburnumhatch/requests/exchange.py
@@ -0,0 +1,232 @@
+"""One caller's request, from its header to its final answer."""
+
+from datetime import timedelta
+
+import logbook
+import xxhash
+from twisted.internet.defer import Deferred
+
+from ..clocks import Cancellable
+from ..results import Refusal, ResultCode, Run
+from ..routing import Match, RequestKind
+from .attempts import RequestAttempts
+from .body import KeptBody, StreamedBody
+from .caller import LONGEST_KEPT_BODY, CallerRequest
+from .claims import ClaimState, HeldClaim, claim_key, claim_request, settle_claim
+from .context import RequestContext
+from .headers import clean_request_headers, parse_deadline
+from .retry import credit_request
+from .spans import end_span, start_request_span, trace_id_of
+from .waiting import RequestWaits
+
+__all__ = ["Exchange"]
+
+RETRY_AFTER = timedelta(seconds=1)
+LONGEST_IDEMPOTENCY_KEY = 255
+
+_log = logbook.Logger("laburnumhatch.requests")
+
+
+class Exchange:
+    """Handler of one caller's request.
+
+    Parameters
+    ----------
+    context : RequestContext
+    request : CallerRequest
+    """
+
+    def __init__(self, context: RequestContext, request: CallerRequest) -> None:
+        self._context = context
+        self._request = request
+        self._started = context.clock.now()
+        self._id = context.next_request_id()
+        self._span = start_request_span(context.tracer, request.requestHeaders)
+        self._waits = RequestWaits(context.clock)
+        self._match: Match | None = None
+        self._deadline = self._started
+        self._deadline_timer: Cancellable | None = None
+        self._body: KeptBody | StreamedBody | None = None
+        self._attempts: RequestAttempts | None = None
+        self._is_running = False
+        self._is_over = False
+        context.exchanges.add(self)
+
+    def header_received(self, length: int | None) -> None:
+        """Route the request, and start it unless its body is to be kept whole."""
+        refusal = self._route(length)
+        if refusal is not None:
+            self._finish(refusal)
+        elif length == 0:
+            self._start()
+        elif length is not None and length <= LONGEST_KEPT_BODY:
+            self._request.keep_body()
+        else:
+            self._body = self._request.stream_body(length)
+            self._start()
+
+    def body_received(self, content: bytes) -> None:
+        """Start a request whose body is whole."""
+        self._body = KeptBody(content)
+        self._start()
+
+    def body_too_large(self) -> None:
+        """Refuse a chunked body that grew beyond the limit of its kind."""
+        self._interrupt(Refusal(ResultCode.BODY_TOO_LARGE))
+
+    def caller_left(self) -> None:
+        """Give the request up: nobody waits for its answer."""
+        self._interrupt(Refusal(ResultCode.CALLER_LEFT))
+
+    def _route(self, length: int | None) -> Refusal | None:
+        context = self._context
+        if context.is_stopping:
+            return Refusal(ResultCode.STOPPING, retry_after=RETRY_AFTER)
+        matcher = context.matcher()
+        if matcher is None:
+            return Refusal(ResultCode.NO_CONFIGURATION, retry_after=RETRY_AFTER)
+        self._match = match = context.match(matcher, self._request)
+        if match is None:
+            return Refusal(ResultCode.NO_ROUTE)
+        if match.service.ownership is not None and match.key is None:
+            return Refusal(ResultCode.KEY_MISSING)
+        return self._check_limits(match.kind, length)
+
+    def _check_limits(self, kind: RequestKind, length: int | None) -> Refusal | None:
+        if length is not None and length > kind.body_limit:
+            detail = f"the limit for kind {kind.name} is {kind.body_limit} bytes"
+            return Refusal(ResultCode.BODY_TOO_LARGE, detail)
+        self._request.body_limit = kind.body_limit
+        allowed = parse_deadline(self._request.getHeader(b"deadline-ms"), kind.deadline)
+        if allowed is None:
+            return Refusal(ResultCode.DEADLINE_INVALID)
+        if not allowed:
+            return Refusal(ResultCode.DEADLINE_PASSED)
+        self._deadline = self._started + allowed
+        self._deadline_timer = self._context.clock.call_later(allowed, self._deadline_passed)
+        return None
+
+    def _start(self) -> None:
+        self._is_running = True
+        clean_request_headers(self._request.requestHeaders, self._request.caller_host)
+        credit_request(self._context.budget)
+        Deferred.fromCoroutine(self._run())
+
+    async def _run(self) -> None:
+        try:
+            refusal = await self._answer()
+        except Exception:
+            _log.exception("request {} failed", self._id)
+            refusal = Refusal(ResultCode.INTERNAL_ERROR)
+        self._finish(refusal)
+
+    async def _answer(self) -> Refusal | None:
+        assert self._match is not None
+        held = await self._claim(self._match)
+        if isinstance(held, Refusal):
+            return held
+        self._attempts = RequestAttempts(
+            self._context,
+            self._request,
+            self._id,
+            self._match,
+            self._body,
+            self._deadline,
+            self._waits,
+            self._span,
+        )
+        refusal = await self._attempts.send_until_final()
+        if held is not None:
+            self._settle(held, refusal, self._attempts)
+        return refusal
+
+    async def _claim(self, match: Match) -> HeldClaim | Refusal | None:
+        kind, table = match.kind, self._context.claims
+        given = self._request.getHeader(b"idempotency-key")
+        if given is None or kind.repeatable or table is None:
+            return None
+        if not 0 < len(given) <= LONGEST_IDEMPOTENCY_KEY or not given.isascii():
+            return Refusal(ResultCode.IDEMPOTENCY_KEY_INVALID)
+        row_key = claim_key(match.service.name, kind.name, given.decode())
+        claiming = claim_request(table, row_key, self._fingerprint(), self._id)
+        try:
+            held: HeldClaim | Refusal = await self._waits.wait(Deferred.fromCoroutine(claiming))
+        except Exception:
+            return self._waits.interruption or Refusal(ResultCode.CLAIM_UNAVAILABLE)
+        return held
+
+    def _fingerprint(self) -> str:
+        request, body = self._request, self._body
+        digest = xxhash.xxh3_128(request.method + b" " + request.uri + b"\0")
+        if isinstance(body, KeptBody):
+            digest.update(body.content)
+        elif body is not None:
+            # A streamed body isn't known before it is sent; its length stands for it.
+            digest.update(f"streamed {body.length}".encode())
+        return digest.hexdigest()
+
+    def _settle(self, held: HeldClaim, refusal: Refusal | None, attempts: RequestAttempts) -> None:
+        if refusal is not None and attempts.may_have_run:
+            return
+        state = ClaimState.ANSWERED if refusal is None else ClaimState.NOT_RUN
+        assert self._context.claims is not None
+        self._context.run_aside(settle_claim(self._context.claims, held, state, attempts.status))
+
+    def _deadline_passed(self) -> None:
+        self._deadline_timer = None
+        self._interrupt(Refusal(ResultCode.UPSTREAM_TIMEOUT, "the deadline passed"))
+
+    def _interrupt(self, refusal: Refusal) -> None:
+        if self._is_over:
+            return
+        self._waits.interruption = self._waits.interruption or refusal
+        if isinstance(self._body, StreamedBody):
+            self._body.cut()
+        if self._is_running:
+            self._waits.cancel()
+        else:
+            self._finish(refusal)
+
+    def _finish(self, refusal: Refusal | None) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        if self._deadline_timer is not None and self._deadline_timer.active():
+            self._deadline_timer.cancel()
+        final = None if refusal is None else self._truthful(refusal)
+        request = self._request
+        if final is not None and not request.has_left and not request.is_answered:
+            if request.startedWriting:
+                request.abort_answer()
+            else:
+                trace_id = trace_id_of(self._span)
+                request.refuse(final, trace_id, self._id, self._context.is_stopping)
+        self._record(final)
+        self._context.exchange_over(self)
+
+    def _truthful(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that takes all attempts of the request into account."""
+        may_have_run = self._attempts is not None and self._attempts.may_have_run
+        run = refusal.effective_run
+        if may_have_run and run is Run.NO:
+            run = Run.UNKNOWN
+        if may_have_run or refusal.code not in (
+            ResultCode.UPSTREAM_TIMEOUT,
+            ResultCode.CALLER_LEFT,
+        ):
+            return Refusal(refusal.code, refusal.detail, run, refusal.retry_after)
+        if refusal.code is ResultCode.CALLER_LEFT:
+            return Refusal(refusal.code, refusal.detail, Run.NO)
+        return Refusal(ResultCode.DEADLINE_PASSED, refusal.detail, retry_after=RETRY_AFTER)
+
+    def _record(self, refusal: Refusal | None) -> None:
+        context = self._context
+        code = ResultCode.ANSWERED if refusal is None else refusal.code
+        match = self._match
+        service, kind = (match.service.name, match.kind.name) if match else ("", "")
+        context.metrics.requests[service, kind, str(code.number)] += 1
+        if refusal is None:
+            context.metrics.observe_latency(service, kind, context.clock.now() - self._started)
+        else:
+            _log.debug("request {} was refused: {}", self._id, code.title)
+        end_span(self._span, service=service, kind=kind, code=code.number, request_id=self._id)
--- /dev/null
+++ b/laburnumhatch/requests/headers.py
@@ -0,0 +1,138 @@
+"""Header fields on their way through an entry instance."""
+
+from datetime import timedelta
+
+from twisted.web.http_headers import Headers
+
+from ..clocks import milliseconds
+
+__all__ = [
+    "clean_answer_headers",
+    "clean_request_headers",
+    "parse_deadline",
+    "parse_retry_after",
+    "retry_after_value",
+]
+
+LONGEST_NUMBER = 12
+HOP_BY_HOP = (
+    b"connection",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+)
+# Set anew for each upstream call, so that no caller can forge them.
+SET_FOR_UPSTREAM = (
+    b"content-length",
+    b"deadline-ms",
+    b"expect",
+    b"fencing-token",
+    b"ownership-slot",
+    b"request-id",
+    b"traceparent",
+    b"tracestate",
+)
+MEANT_FOR_ENTRY = (b"draining", b"fencing-token", b"run")
+
+
+def clean_request_headers(headers: Headers, caller_host: str) -> None:
+    """Turn a caller's header into the part of the upstream header that all attempts share.
+
+    Parameters
+    ----------
+    headers : Headers
+        Changed in place.
+    caller_host : str
+        IP number of the caller, added to ``X-Forwarded-For``.
+
+    Notes
+    -----
+    Fields that belong to one connection go, those that the ``Connection`` field names included
+    [1]_. ``Host`` stays as the caller gave it.
+
+    References
+    ----------
+    .. [1] RFC 9110, HTTP Semantics, section 7.6.1.
+
+    Examples
+    --------
+    >>> headers = Headers({b"connection": [b"close, x-hop"], b"x-hop": [b"1"], b"accept": [b"*"]})
+    >>> clean_request_headers(headers, "192.0.2.1")
+    >>> sorted(headers.getAllRawHeaders())
+    [(b'Accept', [b'*']), (b'X-Forwarded-For', [b'192.0.2.1'])]
+    """
+    for value in headers.getRawHeaders(b"connection") or ():
+        for name in value.split(b","):
+            headers.removeHeader(name.strip())
+    for name in HOP_BY_HOP:
+        headers.removeHeader(name)
+    for name in SET_FOR_UPSTREAM:
+        headers.removeHeader(name)
+    hops = [*(headers.getRawHeaders(b"x-forwarded-for") or ()), caller_host.encode()]
+    headers.setRawHeaders(b"x-forwarded-for", [b", ".join(hops)])
+
+
+def clean_answer_headers(headers: Headers) -> None:
+    """Take the fields that are not the caller's out of an upstream's header, in place."""
+    for name in HOP_BY_HOP:
+        headers.removeHeader(name)
+    for name in MEANT_FOR_ENTRY:
+        headers.removeHeader(name)
+
+
+def parse_deadline(value: bytes | None, longest: timedelta) -> timedelta | None:
+    """Return the time that a request may take, or None for a malformed header.
+
+    Parameters
+    ----------
+    value : bytes or None
+        The caller's ``Deadline-Ms``.
+    longest : timedelta
+        The deadline of the request's kind.
+
+    Examples
+    --------
+    >>> parse_deadline(b"200", timedelta(seconds=1)).total_seconds()
+    0.2
+    >>> parse_deadline(b"-1", timedelta(seconds=1)) is None
+    True
+    """
+    if value is None:
+        return longest
+    if not value.isdigit() or len(value) > LONGEST_NUMBER:
+        return None
+    return min(milliseconds(int(value)), longest)
+
+
+def parse_retry_after(value: bytes | None) -> timedelta | None:
+    """Return a ``Retry-After`` of seconds; None where it is absent, a date or malformed.
+
+    Fractions of a second are taken from upstreams that send them.
+
+    Examples
+    --------
+    >>> parse_retry_after(b"0.05").total_seconds()
+    0.05
+    """
+    if value is None:
+        return None
+    whole, _, fraction = value.partition(b".")
+    if not whole.isdigit() or len(value) > LONGEST_NUMBER or (fraction and not fraction.isdigit()):
+        return None
+    return timedelta(seconds=float(value))
+
+
+def retry_after_value(delay: timedelta) -> bytes:
+    """Return the ``Retry-After`` field for `delay`: whole seconds, rounded up, at least 1.
+
+    Examples
+    --------
+    >>> retry_after_value(timedelta(seconds=1.2))
+    b'2'
+    """
+    return b"%d" % max(1, -(-delay // timedelta(seconds=1)))
--- /dev/null
+++ b/laburnumhatch/requests/tests/test_retry.py
@@ -0,0 +1,100 @@
+"""Tests of the retry decision against a table of cases, and of the retry budget."""
+
+from datetime import timedelta
+from itertools import product
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...results import ResultCode, Run
+from ..outcomes import (
+    Broken,
+    Declined,
+    DeclineReason,
+    LeaseLapsed,
+    NotConnected,
+    TimedOut,
+    outcome_name,
+    refusal_of,
+)
+from ..retry import (
+    CREDIT_PER_REQUEST,
+    FLOOR_PER_SECOND,
+    HIGHEST_BALANCE,
+    RetryAfter,
+    RetryBudget,
+    RetrySituation,
+    credit_request,
+    decide_retry,
+    refill_budget,
+    take_retry,
+)
+
+SECOND = timedelta(seconds=1)
+FAILURES = [
+    NotConnected("refused"),
+    LeaseLapsed(ResultCode.LEASE_EXPIRED),
+    *(Declined(reason, after) for reason, after in product(DeclineReason, (None, SECOND))),
+    *(failure("x", passed) for failure, passed in product((Broken, TimedOut), (False, True))),
+]
+situations = st.builds(
+    RetrySituation,
+    repeatable=st.booleans(),
+    retries=st.integers(0, 3),
+    retry_limit=st.integers(0, 3),
+    remaining=st.timedeltas(timedelta(), 4 * SECOND),
+    body_kept=st.booleans(),
+    other_server=st.booleans(),
+    budget=st.booleans(),
+    jitter=st.floats(0, 1, exclude_max=True),
+)
+
+
+def _may_retry(failure, s):
+    """Naive decision: every reason against a retry, each looked at on its own."""
+    name = outcome_name(failure)
+    not_run = name in ("not connected", "not sent", "shed", "draining", "fenced")
+    against = [
+        getattr(failure, "passed_on", False),
+        not s.repeatable and not not_run,
+        not s.body_kept,
+        s.retries >= s.retry_limit,
+        not s.budget,
+        not s.other_server and name in ("not connected", "draining", "fenced"),
+    ]
+    return not any(against)
+
+
+@given(st.sampled_from(FAILURES), situations)
+def test_decision_agrees_with_the_naive_one(failure, situation):
+    decision = decide_retry(failure, situation)
+    if isinstance(decision, RetryAfter):
+        assert _may_retry(failure, situation)
+        assert timedelta() < decision.delay <= situation.remaining / 2
+        # Not run, or may be repeated: nothing else is ever sent twice.
+        assert failure.run is Run.NO or situation.repeatable
+    elif _may_retry(failure, situation):
+        wanted = getattr(failure, "retry_after", None) or timedelta()
+        longest = timedelta(seconds=0.015 * 2**situation.retries)
+        assert situation.remaining < 2 * (wanted + longest)
+
+
+@given(st.lists(st.sampled_from(["request", "retry", "second"]), max_size=300))
+def test_retries_stay_within_their_share(events):
+    budget, now, retries = RetryBudget(1.0, timedelta()), timedelta(), 0
+    for event in events:
+        if event == "request":
+            credit_request(budget)
+        elif event == "second":
+            now += SECOND
+        elif refill_budget(budget, now):
+            take_retry(budget)
+            retries += 1
+        assert 0 <= budget.balance <= HIGHEST_BALANCE
+    requests, seconds = events.count("request"), now.total_seconds()
+    assert retries <= 1 + CREDIT_PER_REQUEST * requests + FLOOR_PER_SECOND * seconds + 1e-6
+
+
+def test_refusals_say_no_only_where_nothing_ran():
+    for failure in FAILURES:
+        assert refusal_of(failure, SECOND).effective_run is failure.run
