--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -10,8 +10,8 @@
 from ..balancing import TwoChoices
 from ..clocks import Clock
 from ..configuration import ConfigurationFollower
-from ..links import Links, MessageHandler
-from ..membership import Instance, InstanceDirectory, TargetHealth
+from ..links import PeerLinks
+from ..membership import Instance, InstanceDirectory, TargetHealth, http_probe
 from ..ownership import OwnershipKeeper
 from ..planning import plan_moves
 from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
@@ -21,25 +21,13 @@
 from ..settings import InstanceSettings, ListenAddress
 from .admin import AdminPages, build_admin_site
 from .lifecycle import LifecycleActions, build_lifecycle
+from .messages import build_codec
 
 __all__ = ["EntryInstance"]
 
 _log = logbook.Logger("laburnumhatch.entry")
 
 
-class _NoLinks:
-    """Links of an instance without peers."""
-
-    def send(self, instance: str, message: object) -> bool:
-        return False
-
-    def handle(self, message_type: type, handler: MessageHandler) -> None:
-        pass
-
-    def connected(self) -> tuple[str, ...]:
-        return ()
-
-
 class EntryInstance:
     """The parts of one entry instance.
 
@@ -60,6 +48,7 @@
         self._matcher: Matcher | None = None
         self._registry = Registry()
         self._ports: dict[str, Any] = {}
+        self._peer_port = 0
         self._lifecycle = build_lifecycle(
             LifecycleActions(self._become_unready, self._close_port, self._hand_over, exit)
         )
@@ -70,7 +59,8 @@
     @property
     def ports(self) -> dict[str, int]:
         """The ports that are open, by name."""
-        return {name: port.getHost().port for name, port in self._ports.items()}
+        listening = {name: port.getHost().port for name, port in self._ports.items()}
+        return {**listening, "peers": self._peer_port}
 
     def start(self) -> None:
         """Open the ports and begin to follow the platform and the peers."""
@@ -112,6 +102,7 @@
             },
             "instances": [instance.name for instance in self._instances.live()],
             "links": list(self._links.connected()),
+            "targets": self._targets.describe(),
             "ownership": self._ownership.status(),
             "in_flight": self._path.in_flight,
         }
@@ -136,22 +127,43 @@
 
     def _build_membership(self) -> None:
         settings = self._settings
+        self._links = PeerLinks(
+            reactor=self._reactor,
+            clock=self._clock,
+            codec=build_codec(),
+            own=settings.name,
+            shared_key=settings.peer_key,
+        )
+        # The others are told this port, which the system may choose.
+        self._peer_port = self._links.listen(settings.peers.host, settings.peers.port)
         own = Instance(
             settings.name,
             settings.advertise_host,
-            settings.peers.port,
+            self._peer_port,
             settings.admin.port,
             settings.data_centre,
         )
-        self._links: Links = _NoLinks()
         self._instances = InstanceDirectory(
-            clock=self._clock, instance_list=self._instance_list, own=own
+            clock=self._clock,
+            instance_list=self._instance_list,
+            own=own,
+            links=self._links,
+            seeds=[Instance(s.name, s.host, s.port, 0, s.data_centre) for s in settings.seeds],
+        )
+        self._targets = TargetHealth(
+            clock=self._clock,
+            own=settings.name,
+            links=self._links,
+            instances=self._instances,
+            probe=http_probe(HttpClient(self._reactor, self._clock), self._clock),
         )
-        self._targets = TargetHealth()
         self._configuration = ConfigurationFollower(
             clock=self._clock,
             table=self._table,
             object_store=self._object_store,
+            links=self._links,
+            instances=self._instances,
+            own=own,
             on_change=self._use_snapshot,
         )
 
@@ -210,6 +222,7 @@
 
     def _become_unready(self) -> None:
         _log.info("stopping: not ready from now on")
+        self._instances.announce_leaving()
         settings = self._settings
         self._clock.call_later(settings.unready_before_close, self._lifecycle.notice_over)
         self._clock.call_later(settings.stop_within, self._lifecycle.time_is_up)
@@ -223,7 +236,9 @@
     def _hand_over(self) -> None:
         self._configuration.stop()
         self._targets.stop()
-        self._instances.stop()
         stopped = Deferred.fromCoroutine(self._ownership.stop())
         stopped.addErrback(lambda f: _log.error("hand-over failed: {}", f.getTraceback()))
+        # Until then the others must hear that this instance is alive.
+        stopped.addBoth(lambda _: self._instances.stop())
+        stopped.addBoth(lambda _: self._links.stop())
         stopped.addBoth(lambda _: self._lifecycle.handed_over())
