--- a/laburnumhatch/faults/world.py
+++ b/laburnumhatch/faults/world.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from ..clocks import Clock, milliseconds
+from ..routing.slots import group_name
 from ..standins.caller import Caller
 from ..standins.deployment import Deployment, start_deployment
 from ..standins.processes import Child, ProcessGroup, wait_until
@@ -21,6 +22,7 @@
 EXAMPLE = Path(__file__).parent / "example"
 ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
 OWNED_SERVICE = "lofts"
+OWNED_GROUP = group_name(OWNED_SERVICE, 0)
 FREE_SERVICE = "bookings"
 KEYS = tuple(f"rosa-{n}" for n in range(8))
 BOOKINGS = ("ana", "bo")
@@ -105,7 +107,7 @@
     async def coordinator(self) -> str:
         """Return the name of the instance that coordinates the owned service."""
         status = await self.status(self.running_entries()[0])
-        name: str = status["ownership"][OWNED_SERVICE]["coordinator"]
+        name: str = status["ownership"][OWNED_GROUP]["coordinator"]
         return name
 
     async def wait(self, condition: Any, what: str, within: timedelta = SETTLED_WITHIN) -> Any:
