--- a/laburnumhatch/ownership/tests/protocol_world.py
+++ b/laburnumhatch/ownership/tests/protocol_world.py
@@ -158,6 +158,27 @@
             self.deliver(receiver, event)
         self.check()
 
+    def split(self, side, table):
+        """Cut one side off from all other instances, and one of the two from the table.
+
+        Parameters
+        ----------
+        side : set of str
+        table : bool
+            Whether the table stays with `side`.
+        """
+        others = set(NAMES) - set(side)
+        self.cut_links = {frozenset((u, v)) for u in side for v in others}
+        for name, node in self.nodes.items():
+            node.table_cut = (name in side) != table
+
+    def rejoin(self):
+        """Mend all links, and those to the table."""
+        for link in [*self.cut_links, *self.late_links]:
+            self.heal(*link)
+        for node in self.nodes.values():
+            node.table_cut = False
+
     def apply_held_write(self):
         """Let the oldest write that was held up reach the table."""
         if self.held_writes:
@@ -303,6 +324,6 @@
     return world
 
 
-def with_rule_off(name):
-    """Return the rules with one of them switched off."""
-    return replace(Rules(), **{name: False})
+def with_rules_off(*names):
+    """Return the rules with some of them switched off."""
+    return replace(Rules(), **dict.fromkeys(names, False))
--- a/laburnumhatch/ownership/tests/test_protocol.py
+++ b/laburnumhatch/ownership/tests/test_protocol.py
@@ -58,6 +58,14 @@
         else:
             self.world.cut(u, v, late)
 
+    @rule(side=st.sets(names, min_size=1, max_size=3), table=st.booleans())
+    def split(self, side, table):
+        self.world.split(side, table)
+
+    @rule()
+    def rejoin(self):
+        self.world.rejoin()
+
     @rule(name=names)
     def cut_table_or_heal(self, name):
         node = self.world.nodes[name]
