--- a/laburnumhatch/ownership/explanation.py
+++ b/laburnumhatch/ownership/explanation.py
@@ -7,7 +7,7 @@
 from .group_driver import GroupDriver
 from .owner import NoOwner
 from .row import GroupRow, MoveRecord
-from .state import GroupState
+from .state import GroupState, instance_of
 
 __all__ = ["describe_group", "describe_key"]
 
@@ -35,7 +35,7 @@
         "epoch": None if refused else answer.epoch,  # type: ignore[union-attr]
         "why_not": answer.detail if isinstance(answer, NoOwner) else None,
         "expires_in_ms": to_milliseconds(driver.lookup.expires - now),
-        "coordinator": row.coordinator if row else None,
+        "coordinator": instance_of(row.coordinator) if row else None,
         "row_version": row.version if row else 0,
         "own_entry": row is not None and any(key.key_hash == key_hash for key in row.keys),
         "last_move": _last_move(row, key_hash, slot),
@@ -48,8 +48,8 @@
     row = state.known
     return {
         "role": "coordinator" if state.term is not None else _role(state),
-        "coordinator": row.coordinator if row else None,
-        "standbys": list(row.standbys) if row else [],
+        "coordinator": instance_of(row.coordinator) if row else None,
+        "standbys": [instance_of(member) for member in row.standbys] if row else [],
         "row_version": row.version if row else 0,
         "lease_expires_in_ms": to_milliseconds(driver.lookup.expires - now),
         "write_unresolved": state.write is not None,
@@ -74,7 +74,7 @@
         "by_consent": term.extended >= authority,
         "waits_for_earlier_leases_ms": max(0, to_milliseconds(term.strangers_until - now)),
         "open_moves": len(term.moves),
-        "holders": sorted(term.holders),
+        "holders": sorted(instance_of(member) for member in term.holders),
     }
 
 
--- a/laburnumhatch/ownership/keeper.py
+++ b/laburnumhatch/ownership/keeper.py
@@ -154,12 +154,15 @@
         return {"service": service, "key": key, **described}
 
     def status(self) -> dict[str, Any]:
-        """Return the state of each group, for the operators."""
+        """Return the state of each service's first group, and of its further ones in a list."""
         now = self._clock.now()
+        described = {
+            service: [describe_group(driver, now) for driver in groups.drivers]
+            for service, groups in self._services.items()
+        }
         return {
-            driver.key: describe_group(driver, now)
-            for groups in self._services.values()
-            for driver in groups.drivers
+            service: first | ({"further_groups": further} if further else {})
+            for service, (first, *further) in described.items()
         }
 
     def _receive(self, instance: str, message: OwnershipMessage) -> None:
