Keep the fault runs going past an error

Cause: a killed instance left the balancer's addresses, and the error ended all runs. Ruled out: dropping killed instances from the balancer at once, which no balancer can do. Change: addresses outlast the process; an error in one run is a broken verdict of that run. Figures: kill-coordinator ended with KeyError before.

--- a/laburnumhatch/faults/command.py
+++ b/laburnumhatch/faults/command.py
@@ -49,7 +49,7 @@
 async def _run_all(reactor: Any, scenarios: Sequence[Scenario], tally: _Tally) -> None:
     clock = ReactorClock(reactor, boot_seconds)
     for scenario in scenarios:
-        for verdict in await _run(reactor, clock, scenario):
+        for verdict in await _run_or_fail(reactor, clock, scenario):
             _print(scenario, verdict)
             if verdict.held:
                 tally.held += 1
@@ -60,6 +60,13 @@
         raise SystemExit(FAILED)
 
 
+async def _run_or_fail(reactor: Any, clock: Clock, scenario: Scenario) -> list[Verdict]:
+    try:
+        return await _run(reactor, clock, scenario)
+    except Exception as e:
+        return [Verdict("the run comes to its end", "no error", f"{type(e).__name__}: {e}", False)]
+
+
 async def _run(reactor: Any, clock: Clock, scenario: Scenario) -> list[Verdict]:
     caller = Caller(reactor, clock)
     with (
--- a/laburnumhatch/faults/world.py
+++ b/laburnumhatch/faults/world.py
@@ -10,7 +10,6 @@
 from twisted.internet.defer import Deferred
 
 from ..clocks import Clock, milliseconds
-from ..routing.slots import group_name
 from ..standins.caller import Caller
 from ..standins.deployment import Deployment, start_deployment
 from ..standins.processes import Child, ProcessGroup, wait_until
@@ -22,7 +21,6 @@
 EXAMPLE = Path(__file__).parent / "example"
 ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
 OWNED_SERVICE = "lofts"
-OWNED_GROUP = group_name(OWNED_SERVICE, 0)
 FREE_SERVICE = "bookings"
 KEYS = tuple(f"rosa-{n}" for n in range(8))
 BOOKINGS = ("ana", "bo")
@@ -107,7 +105,7 @@
     async def coordinator(self) -> str:
         """Return the name of the instance that coordinates the owned service."""
         status = await self.status(self.running_entries()[0])
-        name: str = status["ownership"][OWNED_GROUP]["coordinator"]
+        name: str = status["ownership"][OWNED_SERVICE]["coordinator"]
         return name
 
     async def wait(self, condition: Any, what: str, within: timedelta = SETTLED_WITHIN) -> Any:
@@ -206,7 +204,7 @@
     return {
         name: (deployment.entry_url(name), deployment.admin_url(name))
         for name, child in deployment.entries.items()
-        if child.exit_code is None and child.ports
+        if child.ports
     }
 
 
