Settle lost replies by the writers that the row names

Cause: a publisher whose lost write had been replaced was settled by equal digests, so that equal content published by a rival passed as its own. The row now names the writer of each past publication.

Also found by leaving mechanisms out one at a time: the incarnation of an instance did nothing that the order of messages on a stream doesn't do (removed); the bound on bytes before the proof, the repeated announcement and the announcement at once had no test that failed without them (added: a chain of 16 instances is in force in 10 s only by announcing at once).

Peers are chosen again only when the instances change.

--- a/laburnumhatch/configuration/__init__.py
+++ b/laburnumhatch/configuration/__init__.py
@@ -5,16 +5,15 @@
 from .follower import ConfigurationFollower
 from .in_force import InForce, Laggard, NotInForce, await_in_force, http_reported_version
 from .messages import CONFIGURATION_MESSAGES
-from .publication import CONFIGURATION_ROW, Publication
-from .publish import (
+from .outcome import (
     PublishConflict,
     Published,
     PublishFailed,
     PublishUnknown,
     VersionUnknown,
-    publish,
-    rollback,
 )
+from .publication import CONFIGURATION_ROW, Publication
+from .publish import publish, rollback
 from .snapshot import SnapshotRefused, decode_snapshot, encode_snapshot, snapshot_digest
 
 __all__ = [
--- a/laburnumhatch/configuration/compare.py
+++ b/laburnumhatch/configuration/compare.py
@@ -8,7 +8,8 @@
 from ..clocks import Clock
 from ..platform import ObjectStore, Table
 from ..routing import RoutingFile
-from .publish import PublishFailed, read_publication
+from .outcome import PublishFailed
+from .put_into_force import read_publication
 from .snapshot import files_of, snapshot_digest, snapshot_name
 
 __all__ = ["Change", "ChangeKind", "Comparison", "compare", "differences"]
--- a/laburnumhatch/configuration/publication.py
+++ b/laburnumhatch/configuration/publication.py
@@ -23,10 +23,21 @@
 
 
 class PastPublication(CheckedModel):
-    """An earlier publication: its version and the digest of its snapshot."""
+    """An earlier publication.
+
+    Attributes
+    ----------
+    version : int
+        One more than the version it replaced.
+    digest : str
+        Digest of its snapshot.
+    writer : str
+        Unique identifier of the write that put it into force.
+    """
 
     version: int = Field(ge=1)
     digest: str = Field(pattern=r"^[0-9a-f]{64}$")
+    writer: str = Field(max_length=200)
 
 
 class Publication(PastPublication):
@@ -34,10 +45,6 @@
 
     Attributes
     ----------
-    version : int
-        One more than the version it replaces.
-    digest : str
-        Digest of the snapshot in force.
     publisher : str
         Who published it, for the operators.
     history : tuple of PastPublication
@@ -47,10 +54,18 @@
     publisher: str = Field(max_length=200)
     history: tuple[PastPublication, ...] = ()
 
+    @property
+    def known(self) -> tuple[PastPublication, ...]:
+        """This publication and those before it, the latest first."""
+        return (self, *self.history)
+
     def digest_of(self, version: int) -> str | None:
         """Return the digest published as `version`, or None where the row no longer has it."""
-        known: tuple[PastPublication, ...] = (self, *self.history)
-        return next((past.digest for past in known if past.version == version), None)
+        return next((past.digest for past in self.known if past.version == version), None)
+
+    def has_writer(self, writer: str) -> bool:
+        """Return whether a write is one of those known."""
+        return any(past.writer == writer for past in self.known)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,22 +88,27 @@
         return PublicationRefused(str(e))
 
 
-def next_publication(current: Publication | None, digest: str, publisher: str) -> Publication:
+def next_publication(
+    current: Publication | None, digest: str, publisher: str, writer: str
+) -> Publication:
     """Return the publication that follows `current`; its version is one more.
 
     Examples
     --------
-    >>> first = next_publication(None, "0" * 64, "ana")
-    >>> second = next_publication(first, "1" * 64, "bo")
-    >>> second.version, second.digest_of(1) == first.digest
-    (2, True)
+    >>> first = next_publication(None, "0" * 64, "ana", "w1")
+    >>> second = next_publication(first, "1" * 64, "bo", "w2")
+    >>> second.version, second.digest_of(1) == first.digest, second.has_writer("w1")
+    (2, True, True)
     """
     if current is None:
-        return Publication(version=1, digest=digest, publisher=publisher)
-    replaced = PastPublication(version=current.version, digest=current.digest)
+        return Publication(version=1, digest=digest, writer=writer, publisher=publisher)
+    replaced = PastPublication(
+        version=current.version, digest=current.digest, writer=current.writer
+    )
     return Publication(
         version=current.version + 1,
         digest=digest,
+        writer=writer,
         publisher=publisher,
         history=(replaced, *current.history)[:HISTORY_LENGTH],
     )
--- /dev/null
+++ b/laburnumhatch/configuration/put_into_force.py
@@ -0,0 +1,157 @@
+"""The one conditional write that puts a snapshot into force."""
+
+import secrets
+from dataclasses import dataclass
+
+from ..clocks import Clock, milliseconds
+from ..platform import Absent, Conflict, OutcomeUnknown, Row, Table, Unavailable, Written
+from .outcome import (
+    PublishConflict,
+    Published,
+    PublishFailed,
+    PublishOutcome,
+    PublishUnknown,
+)
+from .pause import pause
+from .publication import (
+    CONFIGURATION_ROW,
+    Publication,
+    PublicationRefused,
+    decode_publication,
+    encode_publication,
+    next_publication,
+)
+
+__all__ = [
+    "ATTEMPTS",
+    "PAUSE",
+    "Current",
+    "conflict_with",
+    "put_into_force",
+    "read_publication",
+]
+
+# Attempts of a call on the platform that may be repeated, and the pause between them.
+ATTEMPTS = 5
+PAUSE = milliseconds(400)
+
+# The configuration row and the publication in it; None where nothing is published.
+Current = tuple[Row, Publication] | None
+
+
+async def read_publication(clock: Clock, table: Table) -> Current | PublishFailed:
+    """Return the configuration row and its publication; None where nothing is published."""
+    row = await _read_row(clock, table)
+    if isinstance(row, Absent):
+        return None
+    if isinstance(row, Unavailable):
+        return PublishFailed(f"the table can't be read: {row.reason}")
+    publication = decode_publication(row)
+    if isinstance(publication, PublicationRefused):
+        return PublishFailed(f"the row {CONFIGURATION_ROW} can't be read: {publication.reason}")
+    return row, publication
+
+
+async def _read_row(clock: Clock, table: Table) -> Row | Absent | Unavailable:
+    row = await table.read(CONFIGURATION_ROW)
+    for _ in range(ATTEMPTS - 1):
+        if not isinstance(row, Unavailable):
+            break
+        await pause(clock, PAUSE)
+        row = await table.read(CONFIGURATION_ROW)
+    return row
+
+
+async def put_into_force(
+    clock: Clock, table: Table, current: Current, digest: str, publisher: str
+) -> PublishOutcome:
+    """Put a stored snapshot into force after `current`, by one conditional write.
+
+    Parameters
+    ----------
+    clock : Clock
+    table : Table
+    current : Current
+        The row as it was read before the snapshot was stored.
+    digest : str
+        Digest of the snapshot.
+    publisher : str
+
+    Notes
+    -----
+    A write whose reply was lost may still arrive after a read that doesn't show it. The same
+    write is therefore made again, under the same writer and condition: whichever of the two
+    arrives second meets a conflict, and the writers that the row names tell which publication
+    stands, also when a later one has replaced it since.
+    """
+    if current is not None and current[1].digest == digest:
+        return Published(current[1].version, digest, changed=False)
+    writer = secrets.token_hex(12)
+    attempt = _Attempt(
+        next_publication(current[1] if current else None, digest, publisher, writer),
+        current[0].version if current is not None else 0,
+    )
+    written = await attempt.write(table)
+    if isinstance(written, Written):
+        return attempt.published
+    if isinstance(written, Unavailable):
+        return PublishFailed(f"the table can't be written: {written.reason}")
+    if isinstance(written, Conflict):
+        return await _explain_conflict(clock, table, digest)
+    return await _settle(clock, table, attempt, written)
+
+
+def conflict_with(current: Current, digest: str) -> PublishConflict:
+    """Return the conflict of a snapshot that lost against `current`."""
+    if current is None:
+        return PublishConflict(0, "", "", digest)
+    publication = current[1]
+    return PublishConflict(publication.version, publication.publisher, publication.digest, digest)
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """A publication and the version of the row that its write expects."""
+
+    publication: Publication
+    expected: int
+
+    @property
+    def published(self) -> Published:
+        return Published(self.publication.version, self.publication.digest)
+
+    def unknown(self, reason: str) -> PublishUnknown:
+        return PublishUnknown(self.publication.version, self.publication.digest, reason)
+
+    async def write(self, table: Table) -> Written | Conflict | Unavailable | OutcomeUnknown:
+        value = encode_publication(self.publication)
+        return await table.write(CONFIGURATION_ROW, value, self.expected, self.publication.writer)
+
+
+async def _settle(
+    clock: Clock, table: Table, attempt: _Attempt, lost: OutcomeUnknown
+) -> PublishOutcome:
+    for _ in range(ATTEMPTS):
+        again = await attempt.write(table)
+        if isinstance(again, Written):
+            return attempt.published
+        if isinstance(again, Conflict):
+            return await _settle_conflict(clock, table, attempt)
+        await pause(clock, PAUSE)
+    return attempt.unknown(lost.reason)
+
+
+async def _settle_conflict(clock: Clock, table: Table, attempt: _Attempt) -> PublishOutcome:
+    current = await read_publication(clock, table)
+    if isinstance(current, PublishFailed):
+        return attempt.unknown(current.reason)
+    if current is not None and current[1].has_writer(attempt.publication.writer):
+        return attempt.published
+    return conflict_with(current, attempt.publication.digest)
+
+
+async def _explain_conflict(clock: Clock, table: Table, digest: str) -> PublishOutcome:
+    current = await read_publication(clock, table)
+    if isinstance(current, PublishFailed):
+        return PublishFailed(f"another publication was first, and {current.reason}")
+    return conflict_with(current, digest)
--- a/laburnumhatch/configuration/tests/test_follower.py
+++ b/laburnumhatch/configuration/tests/test_follower.py
@@ -29,7 +29,9 @@
     """Make snapshot bytes the current ones, past the publisher's checks."""
     digest = digest or snapshot_digest(content)
     platform["object_store"].objects[snapshot_name(digest)] = content
-    value = encode_publication(Publication(version=version, digest=digest, publisher="ana"))
+    value = encode_publication(
+        Publication(version=version, digest=digest, writer="w", publisher="ana")
+    )
     row = Row(CONFIGURATION_ROW, version, "writer", value)
     platform["table"].rows[CONFIGURATION_ROW] = row
 
@@ -57,15 +59,30 @@
 
 
 def test_version_is_in_force_everywhere_in_time(fleet, outage, publish_file):
-    publish_file("lofts")
-    for name in ("a", "b", "c", "d"):
-        fleet.add(name, **({} if name == "a" else outage))
-    # A chain: each change reaches d through b and c alone.
-    fleet.network.dial(("a", "b"), ("b", "c"), ("c", "d"))
-    fleet.network.run(IN_FORCE_SECONDS)
+    names = [f"e{n:02}" for n in range(16)]
+    for name in names:
+        fleet.add(name, **({} if name == names[0] else outage))
+    # A chain as long as the longest way between instances at the design size.
+    fleet.network.dial(*zip(names, names[1:], strict=False))
+    fleet.network.run(1)
     publish_file("flocks")
     fleet.network.run(IN_FORCE_SECONDS)
-    assert fleet.versions == {name: [1, 2] for name in "abcd"}
+    assert fleet.versions == {name: [1] for name in names}
+
+
+def test_announcement_that_a_full_stream_refuses_is_made_again(fleet, outage, publish_file):
+    fleet.add("a")
+    fleet.add("b", **outage)
+    fleet.network.mesh()
+    fleet.network.run(1)
+    (stream,) = fleet.network.links["a"]._streams.values()
+    stream.pauseProducing()
+    publish_file("lofts")
+    fleet.network.run(1.5)
+    assert fleet.versions == {"a": [1], "b": []}
+    stream.resumeProducing()
+    fleet.network.run(IN_FORCE_SECONDS)
+    assert fleet.versions == {"a": [1], "b": [1]}
 
 
 def test_instance_that_returns_puts_no_older_version_into_force(fleet):
--- a/laburnumhatch/configuration/tests/test_publish.py
+++ b/laburnumhatch/configuration/tests/test_publish.py
@@ -3,7 +3,11 @@
 import pytest
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from ..publish import PublishConflict, Published, PublishFailed, publish, rollback
+from ...platform import OutcomeUnknown
+from ...platform.memory import MemoryTable
+from ..outcome import PublishConflict, Published, PublishFailed, PublishUnknown, VersionUnknown
+from ..publication import CONFIGURATION_ROW
+from ..publish import publish, rollback
 from .conftest import run
 
 
@@ -23,13 +27,54 @@
     assert not publish_file("lofts").changed
 
 
+class RacingTable(MemoryTable):
+    """Table where another publisher acts between the loss of a reply and the next call."""
+
+    then = staticmethod(lambda: None)
+
+    async def write(self, *arguments):
+        written = await super().write(*arguments)
+        if isinstance(written, OutcomeUnknown):
+            self.then()
+        return written
+
+
 @pytest.mark.parametrize("fault", ["lost_replies", "lost_writes"])
 def test_lost_reply_is_settled(table, publish_file, fault):
     publish_file("lofts")
     setattr(table, fault, 1)
     outcome = publish_file("flocks")
     assert outcome.version == 2
-    assert table.rows["configuration/current"].version == 2
+    assert table.rows[CONFIGURATION_ROW].version == 2
+
+
+@pytest.mark.parametrize("rival", ["flocks", "media"])
+@pytest.mark.parametrize("fault", ["lost_replies", "lost_writes"])
+def test_lost_reply_is_settled_by_the_writer(clock, object_store, make_file, fault, rival):
+    table = RacingTable(**{fault: 1})
+
+    def call(service, publisher):
+        files = [make_file(service)]
+        platform = {"clock": clock, "table": table, "object_store": object_store}
+        return run(clock, publish(files, publisher=publisher, **platform))
+
+    table.then = lambda: call(rival, "bo")
+    outcome = call("flocks", "ana")
+    if fault == "lost_replies":
+        assert outcome == Published(1, outcome.digest)
+    else:
+        # Equal content put into force by another is another's publication all the same.
+        assert (outcome.version, outcome.publisher) == (1, "bo")
+        assert isinstance(outcome, PublishConflict)
+
+
+def test_outage_after_a_lost_reply_is_told(clock, object_store, make_file):
+    table = RacingTable(lost_replies=1)
+    table.then = lambda: setattr(table, "down", True)
+    platform = {"clock": clock, "table": table, "object_store": object_store}
+    outcome = run(clock, publish([make_file("lofts")], publisher="ana", **platform))
+    assert isinstance(outcome, PublishUnknown)
+    assert outcome.version == 1
 
 
 def test_table_outage_puts_nothing_into_force(table, publish_file):
@@ -74,3 +119,19 @@
         rollback(1, clock=clock, table=table, object_store=object_store, publisher="ana"),
     )
     assert outcome == Published(3, first.digest)
+
+
+def test_rollback_to_an_unknown_version_names_the_known(clock, table, object_store, publish_file):
+    publish_file("lofts")
+    publish_file("flocks")
+    platform = {"clock": clock, "table": table, "object_store": object_store}
+    outcome = run(clock, rollback(7, publisher="ana", **platform))
+    assert outcome == VersionUnknown(7, (2, 1))
+
+
+def test_files_based_on_an_older_version_are_a_conflict(publish_file):
+    publish_file("lofts")
+    publish_file("flocks")
+    outcome = publish_file("media", expected_version=1)
+    assert isinstance(outcome, PublishConflict)
+    assert outcome.version == 2
--- a/laburnumhatch/links/tests/test_peer_links.py
+++ b/laburnumhatch/links/tests/test_peer_links.py
@@ -121,6 +121,15 @@
     assert pair.links["b"].connected() == ("a",)
 
 
+def test_unproven_peer_sends_little(pair):
+    intruder = Recorder()
+    server = pair.links["b"].accept()
+    pair.attach(intruder, server)
+    intruder.transport.write(b"\xc6" + MAX_FRAME_BYTES.to_bytes(4) + bytes(5000))
+    pair.deliver()
+    assert server.close_reason == "too many bytes before the handshake's end"
+
+
 def test_silent_handshake_is_closed(pair):
     server = pair.links["b"].accept()
     pair.attach(Recorder(), server)
--- a/laburnumhatch/membership/directory.py
+++ b/laburnumhatch/membership/directory.py
@@ -1,7 +1,6 @@
 """The entry instances that are alive, followed by list and by heartbeats."""
 
 import random
-import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from datetime import timedelta
@@ -68,11 +67,12 @@
         self._seeds = seeds
         self._on_change = on_change
         self._jitter = jitter
-        self._introduction = Introduction(own, secrets.token_hex(8))
         self._leaving = False
         self._listed: tuple[ListedInstance, ...] = ()
         self._heard: dict[str, Heard] = {}
         self._live: tuple[Instance, ...] = (own,)
+        self._dialled: tuple[Instance, ...] = ()
+        self._peers: frozenset[str] = frozenset()
         self._last_tick = timedelta()
         self._timers: dict[str, Cancellable] = {}
         self._running = False
@@ -111,17 +111,13 @@
         self._send_heartbeats()
 
     def _connected(self, name: str) -> None:
-        self._links.send(name, self._introduction)
-        self._links.send(name, Heartbeat(self._leaving))
+        self._links.send(name, Introduction(self._own, self._leaving))
 
     def _introduced(self, name: str, message: Introduction) -> None:
         if message.instance.name != name:
             _log.error("{} introduces itself as {}", name, message.instance.name)
             return
-        known = self._heard.get(name)
-        leaving = known.leaving if known and known.incarnation == message.incarnation else False
-        now = self._clock.now()
-        self._heard[name] = Heard(message.instance, message.incarnation, leaving, now)
+        self._heard[name] = Heard(message.instance, message.leaving, self._clock.now())
         self._update()
 
     def _beat(self, name: str, message: Heartbeat) -> None:
@@ -175,10 +171,10 @@
         now = self._clock.now()
         self._forget(now)
         dialled = dialled_instances(self._listed, self._heard, self._seeds, self._own, now)
-        peers = choose_peers(dialled, self._own)
-        names = {peer.name for peer in peers}
-        live = live_instances(self._listed, self._heard, names, self._own, now)
-        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in peers)
+        if dialled != self._dialled:
+            self._dialled = dialled
+            self._choose_peers()
+        live = live_instances(self._listed, self._heard, self._peers, self._own, now)
         if live == self._live:
             return
         _log.info("live instances: {}", ", ".join(i.name for i in live))
@@ -186,6 +182,11 @@
         if self._on_change is not None:
             self._on_change(live)
 
+    def _choose_peers(self) -> None:
+        peers = choose_peers(self._dialled, self._own)
+        self._peers = frozenset(peer.name for peer in peers)
+        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in peers)
+
     def _forget(self, now: timedelta) -> None:
         for name, heard in list(self._heard.items()):
             if now - heard.last > FORGET_AFTER:
--- a/laburnumhatch/membership/messages.py
+++ b/laburnumhatch/membership/messages.py
@@ -16,12 +16,11 @@
     ----------
     instance : Instance
         The sender.
-    incarnation : str
-        Differs between processes that use the same name.
+    leaving : bool
     """
 
     instance: Instance
-    incarnation: str
+    leaving: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/membership/tests/test_directory.py
+++ b/laburnumhatch/membership/tests/test_directory.py
@@ -55,6 +55,17 @@
     assert fleet.views()["a"] == "a"
 
 
+def test_leaving_instance_never_counts_as_live_at_a_newcomer(fleet):
+    fleet.list("a")
+    fleet.add("a")
+    fleet.directories["a"].announce_leaving()
+    views = []
+    fleet.add("b", on_change=views.append)
+    fleet.network.run(3)
+    assert len(fleet.directories["b"].alive()) == 2
+    assert views == []
+
+
 def test_new_process_of_a_leaving_name_counts_as_live(fleet):
     fleet.list("a", "b")
     fleet.add("a", "b")
@@ -97,7 +108,7 @@
     own = make_instance("a")
     heard = {}
     for name, when, leaving in sorted(history, key=lambda beat: beat[1]):
-        heard[name] = Heard(make_instance(name), "", leaving, when)
+        heard[name] = Heard(make_instance(name), leaving, when)
     entries = [make_listed(name, state) for name, state in listed.items()]
     view = [i.name for i in live_instances(entries, heard, peers, own, now)]
 
--- a/laburnumhatch/membership/view.py
+++ b/laburnumhatch/membership/view.py
@@ -28,14 +28,12 @@
     Attributes
     ----------
     instance : Instance
-    incarnation : str
     leaving : bool
     last : timedelta
         Instant of its last message.
     """
 
     instance: Instance
-    incarnation: str
     leaving: bool
     last: timedelta
 
