--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -2,7 +2,9 @@
 
 import click
 
+from ..faults.command import faults
 from .check import check
+from .diff import diff
 from .entry import entry
 from .explain import explain
 from .publish import publish
@@ -18,5 +20,5 @@
     """Route keyed requests to the servers that own their keys."""
 
 
-for command in (check, entry, explain, publish, rollback, standin, status):
+for command in (check, diff, entry, explain, faults, publish, rollback, standin, status):
     main.add_command(command)
--- a/laburnumhatch/standins/deployment.py
+++ b/laburnumhatch/standins/deployment.py
@@ -55,6 +55,11 @@
         """Where the routing files with this machine's ports are."""
         return self.processes.directory / "routing"
 
+    @property
+    def journal_path(self) -> Path:
+        """File that every target adds its runs to."""
+        return self.processes.directory / "runs.jsonl"
+
     @property
     def platform_url(self) -> str:
         """Base URL of the platform stand-in."""
@@ -139,6 +144,7 @@
             "object_store": f"{self.platform_url}/objects",
             "instance_list": f"{self.platform_url}/instances",
         }
+        settings["seeds"] = []
         settings["unready_before_close"] = UNREADY_BEFORE_CLOSE.total_seconds()
         self.settings_path(name).write_text(json.dumps(settings), encoding="utf-8")
 
@@ -161,6 +167,7 @@
     entry_names: Sequence[str],
     *,
     checks_fencing: bool = False,
+    services: frozenset[str] | None = None,
     separate: frozenset[str] = frozenset(),
     work_ms: float = 1.0,
 ) -> Deployment:
@@ -176,6 +183,8 @@
         Instances to start, by the example's settings.
     checks_fencing : bool, optional
         Whether servers that own keys check fencing tokens.
+    services : frozenset of str, optional
+        Services to start; all by default.
     separate : frozenset of str, optional
         Services whose targets get a process each; the others share one for each service.
     work_ms : float, optional
@@ -183,7 +192,9 @@
     """
     platform = processes.launch("platform", "standin", "platform")
     deployment = Deployment(processes, caller, example, platform)
-    files = _read_files(example, checks_fencing)
+    files = [
+        f for f in _read_files(example, checks_fencing) if not services or f.service in services
+    ]
     deployment.routing_directory.mkdir()
     for file in files:
         path = deployment.routing_directory / f"{file.service}.routing.json"
@@ -213,6 +224,7 @@
 ) -> None:
     names = [server.name for server in file.targets.servers]
     arguments = ["standin", "service", str(path), "--any-port", "--work-ms", str(work_ms)]
+    arguments += ["--journal", str(deployment.journal_path)]
     shared = None if separate else deployment.processes.launch(file.service, *arguments)
     for name in names:
         child = shared or deployment.processes.launch(name, *arguments, "--target", name)
