Measure the costs of links, membership and configuration, and lower two

Cause: a stream held 848 KB at both ends, because the Unpacker's first allocation is its whole bound, and 64 unproven peers could so take 23 MB; and the view of the live instances, 4.9 ms at 1,700 instances, was worked out four times a second, 2% of a core by itself.

Change: a first buffer of 1 KB; the view is worked out only when the list changes or an instance falls silent, leaves or returns.

--- a/laburnumhatch/links/frames.py
+++ b/laburnumhatch/links/frames.py
@@ -18,6 +18,7 @@
 MAX_FRAME_BYTES = 256 * 1024
 # Most bytes that the reactor hands over in one read.
 READ_BYTES = 64 * 1024
+FIRST_BUFFER_BYTES = 1024
 HEADER_BYTES = 5
 TAG_BYTES = 16
 SEQUENCE_BYTES = 8
@@ -47,6 +48,8 @@
         self._unpacker = msgpack.Unpacker(
             use_list=False,
             max_buffer_size=MAX_FRAME_BYTES + HEADER_BYTES + READ_BYTES,
+            # The first allocation; by default it would be the whole buffer.
+            read_size=FIRST_BUFFER_BYTES,
             max_bin_len=MAX_FRAME_BYTES,
             max_str_len=0,
             max_array_len=0,
--- a/laburnumhatch/links/tests/test_codec.py
+++ b/laburnumhatch/links/tests/test_codec.py
@@ -1,5 +1,6 @@
 """Tests of the codec and of the reader of frames."""
 
+import tracemalloc
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
@@ -126,6 +127,16 @@
     assert found == contents
 
 
+def test_reader_allocates_little_before_bytes_arrive():
+    tracemalloc.start()
+    readers = [FrameReader() for _ in range(64)]
+    assert not any(list(reader.feed(b"\xc6\x00\x03\xff\xff")) for reader in readers)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    # As many as may be in their handshake take at most an eighth of an instance's 32 MB.
+    assert held < 4 * 2**20
+
+
 @given(st.lists(st.binary(max_size=200), max_size=5))
 def test_any_bytes_are_frames_or_refused(parts):
     reader = FrameReader()
--- /dev/null
+++ b/laburnumhatch/measures/control_costs.py
@@ -0,0 +1,252 @@
+"""What links, membership and configuration cost: bytes, processor time and memory.
+
+Run with ``python -m laburnumhatch.measures.control_costs``.
+"""
+
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from datetime import timedelta
+from functools import partial
+from typing import Any
+
+import click
+import numpy as np
+from twisted.internet import reactor, task
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from ..clocks import ReactorClock, milliseconds
+from ..configuration.messages import ConfigurationAnnouncement
+from ..configuration.snapshot import decode_snapshot, encode_snapshot, snapshot_digest
+from ..entry.messages import build_codec
+from ..links import PeerAddress, PeerLinks
+from ..links.frames import FrameSealer, pack_frame
+from ..membership import Instance, TargetState, choose_peers, probers_of
+from ..membership.messages import Heartbeat, Introduction, TargetReport
+from ..membership.view import Heard, live_instances, silent_instances
+from ..platform import InstanceState, ListedInstance
+from ..routing import RoutingFile
+
+__all__ = ["bytes_of_messages", "fit_slope", "main", "time_of_choices"]
+
+HOST = "127.0.0.1"
+KEY = "key of the measurement"
+DATA_CENTRES = 16
+FLEETS = (8, 400, 1700)
+ROUND_TRIPS = (1000, 2000, 4000)
+STREAMS = (10, 20, 40)
+SERVICES = (8, 32, 128)
+
+Figures = dict[str, Any]
+
+
+def fit_slope(sizes: tuple[int, ...], costs: list[float]) -> float:
+    """Return the cost of one more unit by a least squares line.
+
+    Examples
+    --------
+    >>> round(fit_slope((1, 2, 3), [5.0, 7.0, 9.0]), 6)
+    2.0
+    """
+    return float(np.polyfit(sizes, costs, 1)[0])
+
+
+def make_instance(n: int) -> Instance:
+    """Return the `n`-th instance of a fleet."""
+    return Instance(f"entry-{n}", HOST, 7001, 7002, f"data-centre-{n % DATA_CENTRES}")
+
+
+def bytes_of_messages() -> Figures:
+    """Return the bytes of a frame of each kind of message."""
+    codec = build_codec()
+    age = timedelta(seconds=1)
+    messages = [
+        Heartbeat(False),
+        Introduction(make_instance(1000), False),
+        TargetReport("loft-availability", "loft-12", TargetState.LEAVING, age),
+        ConfigurationAnnouncement(1000, "0" * 64),
+    ]
+    sealer = FrameSealer(bytes(32))
+    return {type(m).__name__: len(pack_frame(sealer.seal(codec.encode(m)))) for m in messages}
+
+
+def time_of_choices() -> Figures:
+    """Return the microseconds of each choice over the instances, by size of the fleet."""
+    return {f"{n} instances": _time_choices(n) for n in FLEETS}
+
+
+def _time_choices(n: int) -> Figures:
+    instances = [make_instance(i) for i in range(n)]
+    listed = [_list_instance(i) for i in instances]
+    own = instances[0]
+    peers = choose_peers(instances, own)
+    names = {peer.name for peer in peers}
+    heard = {p.name: Heard(p, False, timedelta()) for p in peers}
+    return {
+        "peers": len(peers),
+        "choose_peers": _microseconds(lambda: choose_peers(instances, own)),
+        "live_instances": _microseconds(
+            lambda: live_instances(listed, heard, names, own, timedelta())
+        ),
+        "silent_instances": _microseconds(lambda: silent_instances(heard, timedelta())),
+        "probers_of": _microseconds(
+            lambda: probers_of(instances, "service", "target", own.data_centre)
+        ),
+    }
+
+
+def _list_instance(i: Instance) -> ListedInstance:
+    state = InstanceState.LIVE
+    return ListedInstance(i.name, i.host, i.peer_port, i.admin_port, i.data_centre, state)
+
+
+def time_of_snapshots() -> Figures:
+    """Return bytes and microseconds of a snapshot for each service with 15 targets."""
+    contents = [encode_snapshot(_make_file(i) for i in range(n)) for n in SERVICES]
+    return {
+        "bytes for each service": fit_slope(SERVICES, [float(len(c)) for c in contents]),
+        "microseconds for each service": fit_slope(SERVICES, [_time_decoding(c) for c in contents]),
+    }
+
+
+def _time_decoding(content: bytes) -> float:
+    digest = snapshot_digest(content)
+    return _microseconds(lambda: decode_snapshot(content, 1, digest))
+
+
+async def cost_of_messages(clock: ReactorClock) -> Figures:
+    """Return the processor time of one message, sent, carried by TCP and received."""
+    trips = RoundTrips(clock)
+    await trips.connect()
+    costs = []
+    for count in ROUND_TRIPS:
+        started = time.process_time()
+        await trips.run(count)
+        costs.append(1e6 * (time.process_time() - started))
+    trips.stop()
+    # A round trip is two messages.
+    return {"microseconds for each message, both ends": fit_slope(ROUND_TRIPS, costs) / 2}
+
+
+async def memory_of_streams(clock: ReactorClock) -> Figures:
+    """Return the bytes of Python objects of one open stream, one end."""
+    hub = _make_links(clock, "hub")
+    port = hub.listen(HOST, 0)
+    costs: list[float] = []
+    others: list[PeerLinks] = []
+    tracemalloc.start()
+    for count in STREAMS:
+        while len(others) < count:
+            other = _make_links(clock, f"other-{len(others)}")
+            other.set_peers([PeerAddress("hub", HOST, port)])
+            others.append(other)
+        await _until(partial(_has_streams, hub, count))
+        gc.collect()
+        costs.append(float(tracemalloc.get_traced_memory()[0]))
+    tracemalloc.stop()
+    for links in (hub, *others):
+        links.stop()
+    # Each stream has both its ends, a codec and a dialer in this process.
+    return {"bytes for each stream, both ends": fit_slope(STREAMS, costs)}
+
+
+def _make_links(clock: ReactorClock, name: str) -> PeerLinks:
+    return PeerLinks(reactor=reactor, clock=clock, codec=build_codec(), own=name, shared_key=KEY)
+
+
+class RoundTrips:
+    """Heartbeats there and back between two instances, one at a time."""
+
+    def __init__(self, clock: ReactorClock) -> None:
+        self._u = _make_links(clock, "u")
+        self._v = _make_links(clock, "v")
+        self._left = 0
+        self._over: Deferred[None] = Deferred()
+        self._v.handle(Heartbeat, self._answer)
+        self._u.handle(Heartbeat, self._returned)
+
+    async def connect(self) -> None:
+        """Return when the stream is open at both ends."""
+        self._u.set_peers([PeerAddress("v", HOST, self._v.listen(HOST, 0))])
+        await _until(lambda: bool(self._u.connected() and self._v.connected()))
+
+    async def run(self, count: int) -> None:
+        """Make `count` round trips."""
+        self._left = count
+        self._over = Deferred()
+        self._u.send("v", Heartbeat(False))
+        await self._over
+
+    def stop(self) -> None:
+        """Close the stream."""
+        self._u.stop()
+        self._v.stop()
+
+    def _answer(self, name: str, message: Heartbeat) -> None:
+        self._v.send(name, message)
+
+    def _returned(self, name: str, message: Heartbeat) -> None:
+        self._left -= 1
+        if self._left:
+            self._u.send("v", message)
+        else:
+            self._over.callback(None)
+
+
+def _has_streams(links: PeerLinks, count: int) -> bool:
+    return len(links.connected()) == count
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await task.deferLater(reactor, milliseconds(5).total_seconds(), lambda: None)
+
+
+def _make_file(n: int) -> RoutingFile:
+    servers = [
+        {"name": f"t-{i}", "host": HOST, "port": 1000 + i, "data_centre": "lade"} for i in range(15)
+    ]
+    kind = {"method": "GET", "path": f"/service-{n}/{{key}}", "deadline_ms": 500}
+    document = {
+        "service": f"service-{n}",
+        "targets": {"slots": 2, "servers": servers},
+        "kinds": {"view": kind},
+    }
+    return RoutingFile.model_validate(document)
+
+
+def _microseconds(call: Callable[[], Any]) -> float:
+    """Return the best of a few runs."""
+    best = float("inf")
+    for _ in range(5):
+        started = time.perf_counter()
+        call()
+        best = min(best, time.perf_counter() - started)
+    return round(1e6 * best, 1)
+
+
+async def _measure(clock: ReactorClock) -> Figures:
+    return {
+        "bytes of a frame": bytes_of_messages(),
+        "choices, microseconds": time_of_choices(),
+        "snapshots": time_of_snapshots(),
+        "messages": await cost_of_messages(clock),
+        "streams": await memory_of_streams(clock),
+    }
+
+
+@click.command()
+def main() -> None:
+    """Measure what links, membership and configuration cost, and print it as JSON."""
+
+    def run(_: Any) -> Deferred[None]:
+        measured = ensureDeferred(_measure(ReactorClock(reactor)))
+        return measured.addCallback(lambda figures: click.echo(json.dumps(figures, indent=2)))
+
+    task.react(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/laburnumhatch/membership/directory.py
+++ b/laburnumhatch/membership/directory.py
@@ -16,7 +16,13 @@
 from .interfaces import Instance
 from .messages import Heartbeat, Introduction
 from .peers import choose_peers
-from .view import Heard, alive_instances, dialled_instances, live_instances
+from .view import (
+    Heard,
+    alive_instances,
+    dialled_instances,
+    live_instances,
+    silent_instances,
+)
 
 __all__ = ["InstanceDirectory"]
 
@@ -70,6 +76,7 @@
         self._leaving = False
         self._listed: tuple[ListedInstance, ...] = ()
         self._heard: dict[str, Heard] = {}
+        self._silent: frozenset[str] = frozenset()
         self._live: tuple[Instance, ...] = (own,)
         self._dialled: tuple[Instance, ...] = ()
         self._peers: frozenset[str] = frozenset()
@@ -95,6 +102,7 @@
         """Start following the platform's list and sending heartbeats."""
         self._running = True
         self._last_tick = self._clock.now()
+        self._update()
         self._poll()
         self._tick()
 
@@ -125,7 +133,7 @@
         if known is None:
             return
         self._heard[name] = replace(known, leaving=message.leaving, last=self._clock.now())
-        if message.leaving != known.leaving:
+        if message.leaving != known.leaving or name in self._silent:
             self._update()
 
     def _tick(self) -> None:
@@ -135,7 +143,8 @@
         if late > HEARTBEAT_INTERVAL:
             self._allow_for_pause(late)
         self._send_heartbeats()
-        self._update()
+        if silent_instances(self._heard, now) != self._silent:
+            self._update()
         if self._running:
             self._timers["tick"] = self._clock.call_later(HEARTBEAT_INTERVAL, self._tick)
 
@@ -163,13 +172,14 @@
 
     async def _fetch(self) -> None:
         listed = await self._instance_list.fetch()
-        if not isinstance(listed, Unavailable):
+        if not isinstance(listed, Unavailable) and listed != self._listed:
             self._listed = listed
             self._update()
 
     def _update(self) -> None:
         now = self._clock.now()
         self._forget(now)
+        self._silent = silent_instances(self._heard, now)
         dialled = dialled_instances(self._listed, self._heard, self._seeds, self._own, now)
         if dialled != self._dialled:
             self._dialled = dialled
--- a/laburnumhatch/membership/view.py
+++ b/laburnumhatch/membership/view.py
@@ -15,6 +15,7 @@
     "dialled_instances",
     "listed_instance",
     "live_instances",
+    "silent_instances",
 ]
 
 # Silence after which an instance counts as dead; five heartbeats.
@@ -88,6 +89,11 @@
     return tuple(alive[name] for name in sorted(alive))
 
 
+def silent_instances(heard: Mapping[str, Heard], now: timedelta) -> frozenset[str]:
+    """Return the names of the instances that were heard once and are silent now."""
+    return frozenset(n for n, one in heard.items() if now - one.last > HEARD_TIMEOUT)
+
+
 def dialled_instances(
     listed: Iterable[ListedInstance],
     heard: Mapping[str, Heard],
