Show groups and targets in status, and send bodies through the whole path

The status page now has nested facts, which came out as one long line of Python values. Cause of the empty /metrics page: the request path kept a registry of its own; it now gets the instance's.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -148,10 +148,8 @@
 
     async def kill_entry(self, service: str) -> None:
         """Kill the entry instance that coordinates a service, and use the others."""
-        status = await self.deployment.fetch(
-            f"{self.deployment.admin_url(self._live_entries()[0])}/status"
-        )
-        victim = status["ownership"][service].get("coordinator") or self._live_entries()[-1]
+        explained = await self._explain(service, "key-0")
+        victim = explained["coordinator"].partition("/")[0]
         self._say(f"killing {victim}, which coordinates {service}")
         self.deployment.entries[victim].kill()
         await self.deployment.list_entries()
--- a/laburnumhatch/commands/explain.py
+++ b/laburnumhatch/commands/explain.py
@@ -8,6 +8,7 @@
 from .admin_client import AdminAddress
 from .admin_option import address_options, ask_instances
 from .arguments import json_option
+from .facts import render_facts
 from .status import show_answers
 
 __all__ = ["explain", "render_explanation"]
@@ -36,14 +37,10 @@
 def render_explanation(document: dict[str, Any]) -> str:
     """Return the text for one instance's explanation of a key."""
     owner = f"owned by {document['owner']}" if document["owner"] else "without an owner"
+    facts = {name: value for name, value in document.items() if name not in HEADLINE}
     lines = [
         f"{document['instance']}: {document['service']} key {document['key']!r} is {owner}",
         f"  configuration version: {document['configuration_version']}",
+        *render_facts(facts, "  "),
     ]
-    facts = [(name, value) for name, value in document.items() if name not in HEADLINE]
-    lines += [f"  {name.replace('_', ' ')}: {_text(value)}" for name, value in facts]
     return "\n".join(lines)
-
-
-def _text(value: Any) -> str:
-    return "none" if value is None else str(value)
--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -1,23 +1,31 @@
 """The command ``laburnumhatch``."""
 
-import click
+from importlib import import_module
 
-from .check import check
-from .diff import diff
-from .entry import entry
-from .explain import explain
-from .publish import publish
-from .rollback import rollback
-from .standin import standin
-from .status import status
+import click
 
 __all__ = ["main"]
 
+# Each command is the function of the same name in the module of the same name.
+COMMANDS = ("check", "diff", "entry", "explain", "publish", "rollback", "standin", "status")
 
-@click.group()
-def main() -> None:
-    """Route keyed requests to the servers that own their keys."""
 
+class _LazyGroup(click.Group):
+    """Group that imports a command's module when the command is used.
+
+    A stand-in or a short command then starts without the daemon's packages.
+    """
 
-for command in (check, diff, entry, explain, publish, rollback, standin, status):
-    main.add_command(command)
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in COMMANDS:
+            return None
+        command: click.Command = getattr(import_module(f".{cmd_name}", __package__), cmd_name)
+        return command
+
+
+@click.group(cls=_LazyGroup)
+def main() -> None:
+    """Route keyed requests to the servers that own their keys."""
--- a/laburnumhatch/commands/status.py
+++ b/laburnumhatch/commands/status.py
@@ -12,9 +12,12 @@
 from .admin_option import address_options, ask_instances
 from .arguments import json_option
 from .exit_codes import ExitCode
+from .facts import render_facts
 
 __all__ = ["render_status", "show_answers", "status"]
 
+READY = "ready"
+
 
 @click.command()
 @address_options
@@ -51,15 +54,26 @@
         f"  instances: {', '.join(document['instances']) or 'none'}",
         f"  links to: {', '.join(document['links']) or 'none'}",
         f"  requests in flight: {document['in_flight']}",
+        f"  {_targets(document['targets'])}",
     ]
     if configuration["problem"]:
         lines.insert(2, f"  configuration problem: {configuration['problem']}")
-    for service, group in sorted(document["ownership"].items()):
-        facts = ", ".join(f"{name.replace('_', ' ')} {value}" for name, value in group.items())
-        lines.append(f"  ownership of {service}: {facts}")
+    for group, facts in sorted(document["ownership"].items()):
+        lines += [f"  {group}", *render_facts(facts, "    ")]
     return "\n".join(lines)
 
 
+def _targets(states: dict[str, dict[str, str]]) -> str:
+    others = [
+        f"{target} of {service} {state}"
+        for service, targets in sorted(states.items())
+        for target, state in targets.items()
+        if state != READY
+    ]
+    count = sum(len(targets) for targets in states.values())
+    return f"targets: {count - len(others)} of {count} ready" + "".join(f"; {o}" for o in others)
+
+
 def _readiness(document: dict[str, Any]) -> str:
     if document["ready"]:
         return "ready"
--- a/laburnumhatch/commands/tests/test_rendering.py
+++ b/laburnumhatch/commands/tests/test_rendering.py
@@ -33,7 +33,17 @@
     "configuration": {"version": 7, "digest": DIGEST, "problem": None},
     "instances": ["entry-1", "entry-2"],
     "links": ["entry-2"],
-    "ownership": {"loft-availability": {"coordinator": "entry-2", "row_version": 12}},
+    "targets": {"loft-availability": {"loft-1": "ready", "loft-2": "suspect"}},
+    "ownership": {
+        "ownership/loft-availability/0": {
+            "role": "standby",
+            "coordinator": "entry-2/3d011279",
+            "standbys": ["entry-1/17442069", "entry-3/55a1c003"],
+            "lease_expires_in_ms": 933,
+            "write_unresolved": False,
+            "slots_by_server": {"loft-1": 512, "loft-2": 512},
+        }
+    },
     "in_flight": 3,
 }
 UNREADY = {
@@ -44,6 +54,7 @@
     "configuration": {"version": 0, "digest": "", "problem": "nothing is published"},
     "instances": [],
     "links": [],
+    "targets": {},
     "ownership": {},
 }
 OWNED = {
@@ -51,11 +62,16 @@
     "configuration_version": 7,
     "service": "loft-availability",
     "key": "rosa",
-    "slot": 12,
-    "owner": "loft-3",
+    "slot": 538,
+    "owner": "loft-8",
     "epoch": 4,
-    "coordinator": "entry-2",
+    "why_not": None,
+    "expires_in_ms": 981,
+    "coordinator": "entry-1/17442069",
+    "own_entry": False,
+    "last_move": "loft-3 to loft-8: loft-3 is gone",
 }
+NOT_OWNED = {**OWNED, "owner": None, "epoch": None, "why_not": "the key is moving"}
 REACHED = InForce(7, ("entry-1", "entry-2"))
 LAGGING = NotInForce(7, ("entry-1",), (Laggard("entry-2", "version 6 is in force"),), "1 of 2")
 VALID = """{"service": "lofts", "targets": {"slots": 2, "servers": [
@@ -68,9 +84,7 @@
     assert render_status(document) == snapshot
 
 
-@pytest.mark.parametrize(
-    "document", [OWNED, {**OWNED, "owner": None, "why": "the key is moving"}], ids=["owned", "not"]
-)
+@pytest.mark.parametrize("document", [OWNED, NOT_OWNED], ids=["owned", "not"])
 def test_explanation(document, snapshot):
     assert render_explanation(document) == snapshot
 
--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -196,6 +196,7 @@
             chooser,
             self._table,
             entry_count=self._live_count,
+            registry=self._registry,
         )
 
     def _live_count(self) -> int:
--- a/laburnumhatch/entry/tests/test_whole_path.py
+++ b/laburnumhatch/entry/tests/test_whole_path.py
@@ -43,6 +43,7 @@
     assert len(sent) == len(ENTRIES) * 12 * len(NAMES) - (4 if example == "duefjaer" else 0)
     await gatherResults([Deferred.fromCoroutine(one) for one in sent], consumeErrors=True)
     await _check_refusal(deployment)
+    await _check_metrics(deployment, len(sent) // len(ENTRIES))
     for entry in ENTRIES:
         deployment.entries[entry].process.terminate()
     codes = [await processes.ended(deployment.entries[entry]) for entry in ENTRIES]
@@ -76,7 +77,7 @@
     query = "nonce=" + hashlib.sha256(nonce.encode()).hexdigest()
     if "film" in path or "/drawings/" in path:
         query += f"&answer_bytes={FILM_BYTES}"
-    body = b""
+    body = nonce.encode() * 100 if kind.method in ("POST", "PUT") else b""
     headers = {"Deadline-Ms": "20000"}
     if not kind.repeatable:
         headers["Idempotency-Key"] = f'"{hashlib.sha256(nonce.encode()).hexdigest()}"'
@@ -102,5 +103,11 @@
     assert (answer.document["code"], answer.document["run"]) == (101, "no")
 
 
+async def _check_metrics(deployment, answered):
+    page = await deployment.caller.send("GET", f"{deployment.admin_url('entry-1')}/metrics")
+    lines = [line for line in page.body.decode().splitlines() if 'code="0"' in line]
+    assert sum(float(line.rpartition(" ")[2]) for line in lines) == answered
+
+
 def _digest(content):
     return hashlib.sha256(content).hexdigest()
--- a/laburnumhatch/standins/upstream_answer.py
+++ b/laburnumhatch/standins/upstream_answer.py
@@ -2,10 +2,10 @@
 
 import hashlib
 import json
+import random
 from collections.abc import Iterator
 from typing import Any
 
-import numpy
 from twisted.internet.defer import Deferred
 from twisted.web.http import Request
 
@@ -26,10 +26,9 @@
     >>> sum(len(chunk) for chunk in film_chunks("loft-3", 100_000))
     100000
     """
-    seed_number = int.from_bytes(hashlib.sha256(seed.encode()).digest()[:8])
-    generator = numpy.random.default_rng(seed_number)
+    generator = random.Random(seed)
     while size > 0:
-        chunk = generator.bytes(min(size, CHUNK_BYTES))
+        chunk = generator.randbytes(min(size, CHUNK_BYTES))
         size -= len(chunk)
         yield chunk
 
