--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -6,14 +6,24 @@
 
 __all__ = ["main"]
 
-# Each command is the function of the same name in the module of the same name.
-COMMANDS = ("check", "diff", "entry", "explain", "publish", "rollback", "standin", "status")
+# Each command is the function of its name in the module that is named here.
+COMMANDS = {
+    "check": ".check",
+    "diff": ".diff",
+    "entry": ".entry",
+    "explain": ".explain",
+    "faults": "..faults.command",
+    "publish": ".publish",
+    "rollback": ".rollback",
+    "standin": ".standin",
+    "status": ".status",
+}
 
 
 class _LazyGroup(click.Group):
     """Group that imports a command's module when the command is used.
 
-    A stand-in or a short command then starts without the daemon's packages.
+    A short command then starts without the daemon's packages.
     """
 
     def list_commands(self, ctx: click.Context) -> list[str]:
@@ -22,7 +32,8 @@
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name not in COMMANDS:
             return None
-        command: click.Command = getattr(import_module(f".{cmd_name}", __package__), cmd_name)
+        module = import_module(COMMANDS[cmd_name], __package__)
+        command: click.Command = getattr(module, cmd_name)
         return command
 
 
