Judge calls with and without an idempotency key apart

Cause: in an outage of the platform a key can't be claimed, so calls that carry one are refused as not run, while all others must be served; one verdict mixed the two. The publishing runs sent identical files, which change nothing, and two publishers that started apart both won rightly. Ruled out: serving calls whose key can't be claimed: the same key may come back through another instance, and a booking would be charged twice. Change: calls without a key are judged by the 3 s; those with one must be answered or refused as not run. Publishing runs change a file; racing publishers state the version they started from. A restarted instance gets seeds; the shutdown's notice is longer than the balancer's interval.

--- a/laburnumhatch/faults/traffic.py
+++ b/laburnumhatch/faults/traffic.py
@@ -32,6 +32,8 @@
     path : str
         Path of the calls, to which each adds a number of its own.
     repeatable : bool
+    claimed : bool
+        Whether the calls carry an idempotency key.
     """
 
     service: str
@@ -40,6 +42,7 @@
     method: str
     path: str
     repeatable: bool
+    claimed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,7 +196,7 @@
     async def _send(self, plan: CallPlan, entry: str, url: str) -> None:
         self._number += 1
         path = f"{plan.path}/{self._number}"
-        headers = {} if plan.repeatable else {"Idempotency-Key": f'"{path}"'}
+        headers = {"Idempotency-Key": f'"{path}"'} if plan.claimed else {}
         sent = self.clock.now()
         answer = await self.caller.send(
             plan.method, f"{url}{path}", headers, timeout=CALLER_TIMEOUT
--- a/laburnumhatch/faults/verdict.py
+++ b/laburnumhatch/faults/verdict.py
@@ -8,7 +8,7 @@
 from .history import ServerRun, find_epoch_reversals, find_owner_overlaps, find_repeated_runs
 from .traffic import Call, longest_gap
 
-__all__ = ["Verdict", "common_verdicts", "gap_verdict"]
+__all__ = ["Verdict", "claims_verdict", "common_verdicts", "gap_verdict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,5 +68,29 @@
     return Verdict(promise, f"{bound.total_seconds():g} s", seen, gap <= bound)
 
 
+def claims_verdict(calls: Sequence[Call], start: timedelta, end: timedelta) -> Verdict:
+    """Return whether calls with an idempotency key were answered, or refused as not run.
+
+    Parameters
+    ----------
+    calls : sequence of Call
+    start, end : timedelta
+        Time in which no idempotency key can be claimed.
+    """
+    claimed = [call for call in calls if call.plan.claimed and start <= call.sent <= end]
+    other = [call for call in claimed if not call.answered and call.run is not Run.NO]
+    refused = sum(call.run is Run.NO for call in claimed)
+    return Verdict(
+        "an idempotency key that can't be claimed is refused as not run",
+        "none otherwise",
+        f"{len(other)} otherwise {_outcomes(other)}, {refused} refused of {len(claimed)}",
+        not other and bool(claimed),
+    )
+
+
+def _outcomes(calls: Sequence[Call]) -> list[str]:
+    return sorted({f"{call.status} {call.code or call.detail}" for call in calls})
+
+
 def _none(promise: str, found: Sequence[object], of: str) -> Verdict:
     return Verdict(promise, "none", f"{len(found)} {of}", not found)
--- a/laburnumhatch/faults/world.py
+++ b/laburnumhatch/faults/world.py
@@ -25,6 +25,8 @@
 KEYS = tuple(f"rosa-{n}" for n in range(8))
 BOOKINGS = ("ana", "bo")
 WORK_MS = 5.0
+# The balancer notices in half a second.
+UNREADY_BEFORE_CLOSE = milliseconds(1500)
 SETTLED_WITHIN = timedelta(seconds=15)
 # Outcomes of requests that had no effect.
 REFUSED = "refused"
@@ -127,7 +129,7 @@
             if entry["server"] == server and entry["outcome"] == REFUSED
         ]
 
-    async def publish_changed(self, weight: float) -> Child:
+    async def publish_changed(self, weight: float, *options: str) -> Child:
         """Publish the routing files with another weight of one kind, and return the command."""
         directory = self.deployment.processes.directory / f"weight-{weight}"
         shutil.copytree(self.deployment.routing_directory, directory)
@@ -137,15 +139,25 @@
         path.write_text(json.dumps(document), encoding="utf-8")
         settings = str(self.deployment.settings_path(ENTRIES[0]))
         processes = self.deployment.processes
-        return await processes.run("publish", "publish", str(directory), "--settings", settings)
+        command = ("publish", str(directory), "--settings", settings, *options)
+        return await processes.run("publish", *command)
 
     async def restart_entry(self, name: str) -> None:
-        """Start an entry instance again, unknown to the platform's list."""
-        path = str(self.deployment.settings_path(name))
-        child = self.deployment.processes.launch(name, "entry", "--settings", path)
+        """Start an entry instance again, unknown to the platform's list, with seeds."""
+        path = self.deployment.settings_path(name)
+        settings = json.loads(path.read_text(encoding="utf-8"))
+        settings["seeds"] = [self._seed(other) for other in self.running_entries()]
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        child = self.deployment.processes.launch(name, "entry", "--settings", str(path))
         self.deployment.entries[name] = child
         await self.deployment.processes.listening(child)
 
+    def _seed(self, name: str) -> dict[str, Any]:
+        settings = json.loads(self.deployment.settings_path(name).read_text(encoding="utf-8"))
+        port = self.deployment.entries[name].ports["peers"]
+        address = {"host": settings["peers"]["host"], "port": port}
+        return {"name": name, "data_centre": settings["data_centre"], **address}
+
     def _journal(self) -> list[dict[str, Any]]:
         text = self.deployment.journal_path.read_text(encoding="utf-8")
         return [json.loads(line) for line in text.splitlines()]
@@ -172,6 +184,7 @@
         checks_fencing=checks_fencing,
         separate=frozenset((OWNED_SERVICE, FREE_SERVICE)),
         work_ms=WORK_MS,
+        unready_before_close=UNREADY_BEFORE_CLOSE,
     )
     published = await deployment.publish()
     if published.exit_code != 0:
@@ -192,14 +205,22 @@
     for key in KEYS:
         path = f"/lofts/{key}"
         plans.append(CallPlan(OWNED_SERVICE, "view", key, "GET", f"{path}/views", True))
-        plans.append(CallPlan(OWNED_SERVICE, "reserve", key, "POST", f"{path}/reservations", False))
+        plans.append(_once(OWNED_SERVICE, "reserve", key, f"{path}/reservations"))
     for key in BOOKINGS:
         path = f"/bookings/{key}"
         plans.append(CallPlan(FREE_SERVICE, "look", key, "GET", f"{path}/looks", True))
-        plans.append(CallPlan(FREE_SERVICE, "confirm", key, "POST", f"{path}/confirmations", False))
+        plans.append(_once(FREE_SERVICE, "confirm", key, f"{path}/confirmations"))
+    path = f"/lofts/{KEYS[0]}/reservations"
+    plans.append(_once(OWNED_SERVICE, "claimed-reserve", KEYS[0], path, claimed=True))
+    path = f"/bookings/{BOOKINGS[0]}/confirmations"
+    plans.append(_once(FREE_SERVICE, "claimed-confirm", BOOKINGS[0], path, claimed=True))
     return plans
 
 
+def _once(service: str, kind: str, key: str, path: str, claimed: bool = False) -> CallPlan:
+    return CallPlan(service, kind, key, "POST", path, False, claimed)
+
+
 def _addresses(deployment: Deployment) -> dict[str, tuple[str, str]]:
     return {
         name: (deployment.entry_url(name), deployment.admin_url(name))
--- a/laburnumhatch/standins/deployment.py
+++ b/laburnumhatch/standins/deployment.py
@@ -40,6 +40,8 @@
     targets : dict of (str, str) to Child
         Process of each service's target.
     entries : dict of str to Child
+    unready_before_close : timedelta
+        Setting of the entry instances.
     """
 
     processes: ProcessGroup
@@ -49,6 +51,7 @@
     services: dict[str, RoutingFile] = field(default_factory=dict)
     targets: dict[tuple[str, str], Child] = field(default_factory=dict)
     entries: dict[str, Child] = field(default_factory=dict)
+    unready_before_close: timedelta = UNREADY_BEFORE_CLOSE
 
     @property
     def routing_directory(self) -> Path:
@@ -145,7 +148,7 @@
             "instance_list": f"{self.platform_url}/instances",
         }
         settings["seeds"] = []
-        settings["unready_before_close"] = UNREADY_BEFORE_CLOSE.total_seconds()
+        settings["unready_before_close"] = self.unready_before_close.total_seconds()
         self.settings_path(name).write_text(json.dumps(settings), encoding="utf-8")
 
     def _listed(self, name: str, child: Child) -> dict[str, Any]:
@@ -170,6 +173,7 @@
     services: frozenset[str] | None = None,
     separate: frozenset[str] = frozenset(),
     work_ms: float = 1.0,
+    unready_before_close: timedelta = UNREADY_BEFORE_CLOSE,
 ) -> Deployment:
     """Start the stand-ins and entry instances of an example, without publishing.
 
@@ -189,9 +193,13 @@
         Services whose targets get a process each; the others share one for each service.
     work_ms : float, optional
         Work time of a request.
+    unready_before_close : timedelta, optional
+        Setting of the entry instances; longer than a balancer takes to notice, where one watches.
     """
     platform = processes.launch("platform", "standin", "platform")
-    deployment = Deployment(processes, caller, example, platform)
+    deployment = Deployment(
+        processes, caller, example, platform, unready_before_close=unready_before_close
+    )
     files = [
         f for f in _read_files(example, checks_fencing) if not services or f.service in services
     ]
