--- a/laburnumhatch/commands/outcome.py
+++ b/laburnumhatch/commands/outcome.py
@@ -52,7 +52,7 @@
                 " the difference with `laburnumhatch diff` and publish again."
             )
         case PublishFailed(reason):
-            return f"nothing was put into force: {reason}. Publish again later."
+            return f"nothing was put into force: {reason.rstrip('.')}. Publish again later."
         case PublishUnknown(version, digest, reason):
             return (
                 f"not known whether version {version} ({_short(digest)}) is in force: {reason}."
