--- a/laburnumhatch/ownership/keeper.py
+++ b/laburnumhatch/ownership/keeper.py
@@ -48,6 +48,8 @@
     targets : TargetView
     plan : callable
         Takes a `PlanningView` and returns the moves to make.
+    sender : GrantSender, optional
+        Way to the servers; HTTP over `reactor` by default.
 
     Notes
     -----
@@ -66,14 +68,16 @@
         instances: InstanceView,
         targets: TargetView,
         plan: Plan,
+        sender: GrantSender | None = None,
     ) -> None:
         self._clock = clock
         self._member = f"{name}/{secrets.token_hex(INCARNATION_BYTES)}"
         self._data_centre = data_centre
         self._targets = targets
         self._plan = plan
-        sender = GrantSender(reactor, clock)
-        self._outside = GroupOutside(clock, table, links, instances, sender)
+        self._outside = GroupOutside(
+            clock, table, links, instances, sender or GrantSender(reactor, clock)
+        )
         self._services: dict[str, _ServiceGroups] = {}
         self._running = False
         for message_type in OWNERSHIP_MESSAGES:
