--- a/laburnumhatch/ownership/candidate.py
+++ b/laburnumhatch/ownership/candidate.py
@@ -88,11 +88,8 @@
 
 
 def _coordinator_is_isolated(state: GroupState, now: timedelta) -> bool:
-    """Return whether the coordinator has long asked for consent though the table answers here."""
-    timing = state.setup.timing
-    candidate = state.candidate
-    asked_lately = now - candidate.consented < timing.renew_interval * 3
-    return asked_lately and now - candidate.consenting_since > timing.isolation
+    """Return whether the coordinator said lately that it doesn't reach the table."""
+    return now - state.candidate.isolated < state.setup.timing.renew_interval * 3
 
 
 def _create_if_due(state: GroupState, now: timedelta) -> list[Effect]:
--- a/laburnumhatch/ownership/coordinator.py
+++ b/laburnumhatch/ownership/coordinator.py
@@ -123,6 +123,7 @@
                 term.consent.number,
                 known.version,
                 unresolved,
+                now - term.renewed,
             ),
         )
         for standby in sorted(required)
--- a/laburnumhatch/ownership/messages.py
+++ b/laburnumhatch/ownership/messages.py
@@ -165,12 +165,15 @@
         Latest version of the row that the coordinator knows to have written.
     unresolved : bool
         Whether a further write of the coordinator may have taken effect.
+    renewed_ago : timedelta
+        Time since the coordinator's last renewal by the table.
     """
 
     standby: str
     number: int
     version: int
     unresolved: bool
+    renewed_ago: timedelta
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/ownership/standby.py
+++ b/laburnumhatch/ownership/standby.py
@@ -30,7 +30,7 @@
     effects: list[Effect] = []
     if granted:
         state.promised = max(state.promised, now + timing.awaited(timing.promise))
-        effects = _look_whether_isolated(state, now)
+        effects = _look_whether_isolated(state, message, now)
     answer = Consent(message.service, message.group, state.setup.member, message.number, granted)
     return [SendMessage(instance, answer), *effects]
 
@@ -42,14 +42,18 @@
     return known.version > message.version and known.coordinator != message.member
 
 
-def _look_whether_isolated(state: GroupState, now: timedelta) -> list[Effect]:
+def _look_whether_isolated(
+    state: GroupState, message: ConsentRequest, now: timedelta
+) -> list[Effect]:
+    """Read the row where the coordinator has not reached the table for long."""
     candidate = state.candidate
     timing = state.setup.timing
-    if now - candidate.consented > timing.renew_interval * 3:
-        candidate.consenting_since = now
-    candidate.consented = now
-    if now - candidate.consenting_since <= timing.isolation:
+    known = state.known
+    if known is None or known.coordinator != message.member:
+        return []
+    if message.renewed_ago <= timing.isolation:
         return []
+    candidate.isolated = now
     if now - candidate.tried < timing.retry:
         return []
     candidate.tried = now
--- a/laburnumhatch/ownership/state.py
+++ b/laburnumhatch/ownership/state.py
@@ -286,8 +286,8 @@
         Last read with the intention to take over.
     superseded : int
         Times that this instance lost a term of its own lately; each doubles its patience.
-    consented, consenting_since : timedelta
-        The last consent, and the first of the present series.
+    isolated : timedelta
+        Last time the coordinator said that it has not reached the table for long.
     invited : timedelta
         Last time the coordinator asked this instance to take over.
     """
@@ -297,8 +297,7 @@
     tried: timedelta = LONG_AGO
     superseded: int = 0
     superseded_at: timedelta = LONG_AGO
-    consented: timedelta = LONG_AGO
-    consenting_since: timedelta = LONG_AGO
+    isolated: timedelta = LONG_AGO
     invited: timedelta = LONG_AGO
 
 
--- a/laburnumhatch/ownership/timing.py
+++ b/laburnumhatch/ownership/timing.py
@@ -33,7 +33,7 @@
     retry : timedelta
         Time before an unsettled call is repeated.
     isolation : timedelta
-        How long a standby that reaches the table consents before it takes over itself.
+        How long a coordinator may fail to reach the table before a standby that does takes over.
     server_call : timedelta
         Longest time until a server has received a call, or never will.
     settle_delay : timedelta
--- a/laburnumhatch/ownership/writes.py
+++ b/laburnumhatch/ownership/writes.py
@@ -94,7 +94,7 @@
     state.known = row
     if known is None or known.coordinator != row.coordinator:
         state.candidate.heard = now
-        state.candidate.consented = LONG_AGO
+        state.candidate.isolated = LONG_AGO
     if state.term is not None and row.coordinator != state.setup.member:
         _end_term(state, now)
     return settled
