--- a/laburnumhatch/ownership/candidate.py
+++ b/laburnumhatch/ownership/candidate.py
@@ -37,6 +37,7 @@
     """
     if state.term is not None or state.write is not None or state.stopping:
         return []
+    _note_reached(state, event, now)
     if not event.available or event.sent < state.candidate.tried:
         return []
     if event.row is None:
@@ -48,6 +49,14 @@
     return begin_write(state, WriteKind.TAKEOVER, _takeover_row(state, state.known, now), now)
 
 
+def _note_reached(state: GroupState, event: RowRead, now: timedelta) -> None:
+    candidate = state.candidate
+    if not event.available or now - candidate.isolated > state.setup.timing.renew_interval * 2:
+        candidate.reached = None
+    elif candidate.reached is None:
+        candidate.reached = now
+
+
 def on_handover(state: GroupState, message: Handover, now: timedelta) -> list[Effect]:
     """Take over from a coordinator that stops."""
     known = state.known
@@ -88,8 +97,12 @@
 
 
 def _coordinator_is_isolated(state: GroupState, now: timedelta) -> bool:
-    """Return whether the coordinator said lately that it doesn't reach the table."""
-    return now - state.candidate.isolated < state.setup.timing.renew_interval * 3
+    """Return whether this instance has reached the table for a while and the coordinator not."""
+    candidate = state.candidate
+    patience = state.setup.timing.renew_interval * 2
+    if now - candidate.isolated > patience or candidate.reached is None:
+        return False
+    return candidate.isolated - candidate.reached > patience
 
 
 def _create_if_due(state: GroupState, now: timedelta) -> list[Effect]:
--- a/laburnumhatch/ownership/coordinator.py
+++ b/laburnumhatch/ownership/coordinator.py
@@ -250,7 +250,7 @@
     known = state.known
     assert term is not None and known is not None
     timing = state.setup.timing
-    renewal_due = now - term.granted >= timing.renew_interval
+    renewal_due = now - term.granted >= timing.grant_interval
     revoked = _revocations(term)
     urgent = set(revoked) | {name for move in term.moves for name in move.unaccepted}
     names = set(known.servers) | urgent if renewal_due else urgent
--- a/laburnumhatch/ownership/group.py
+++ b/laburnumhatch/ownership/group.py
@@ -123,8 +123,6 @@
 
 
 def _on_row_read(state: GroupState, event: RowRead, now: timedelta) -> list[Effect]:
-    if not event.available:
-        return []
     effects: list[Effect] = []
     if event.row is not None:
         effects += _on_took_effect(state, learn_row(state, event.row, now), now)
--- a/laburnumhatch/ownership/state.py
+++ b/laburnumhatch/ownership/state.py
@@ -288,6 +288,8 @@
         Times that this instance lost a term of its own lately; each doubles its patience.
     isolated : timedelta
         Last time the coordinator said that it has not reached the table for long.
+    reached : timedelta or None
+        Since when this instance has reached the table while the coordinator did not.
     invited : timedelta
         Last time the coordinator asked this instance to take over.
     """
@@ -298,6 +300,7 @@
     superseded: int = 0
     superseded_at: timedelta = LONG_AGO
     isolated: timedelta = LONG_AGO
+    reached: timedelta | None = None
     invited: timedelta = LONG_AGO
 
 
--- a/laburnumhatch/ownership/timing.py
+++ b/laburnumhatch/ownership/timing.py
@@ -18,6 +18,8 @@
         How long a coordinator may grant after it sent a renewal that succeeded.
     renew_interval : timedelta
         Time between two renewals.
+    grant_interval : timedelta
+        Time between two renewals of a server's grants.
     lease : timedelta
         Longest routing lease.
     pull_interval : timedelta
@@ -44,6 +46,7 @@
 
     authority: timedelta = milliseconds(1500)
     renew_interval: timedelta = milliseconds(400)
+    grant_interval: timedelta = milliseconds(600)
     lease: timedelta = milliseconds(1200)
     pull_interval: timedelta = milliseconds(300)
     promise: timedelta = milliseconds(2000)
