--- a/laburnumhatch/ownership/grants.py
+++ b/laburnumhatch/ownership/grants.py
@@ -16,7 +16,7 @@
 from ..clocks import Clock, milliseconds, to_milliseconds
 from ..routing import Target
 
-__all__ = ["GrantAnswer", "GrantSender", "GrantSet", "SlotRange", "slot_ranges"]
+__all__ = ["GrantAnswer", "GrantSender", "GrantSet", "SlotRange", "encode_grants", "slot_ranges"]
 
 CONNECT_TIMEOUT = milliseconds(300)
 CALL_TIMEOUT = milliseconds(500)
@@ -110,7 +110,7 @@
 
     async def send(self, service: str, target: Target, grants: GrantSet) -> GrantAnswer:
         """Tell a server of its grants; the answer says what is known afterwards."""
-        call = Deferred.fromCoroutine(self._post(target, _document(service, grants)))
+        call = Deferred.fromCoroutine(self._post(target, encode_grants(service, grants)))
         timeout = self._clock.call_later(CALL_TIMEOUT, call.cancel)
         try:
             status = await call
@@ -125,10 +125,10 @@
             status, GrantAnswer.UNKNOWN
         )
 
-    async def _post(self, target: Target, document: dict[str, Any]) -> int:
+    async def _post(self, target: Target, body: bytes) -> int:
         response = await treq.post(
             f"http://{target.host}:{target.port}/grants",
-            data=json.dumps(document).encode(),
+            data=body,
             headers=Headers({"content-type": ["application/json"]}),
             agent=self._agent,
         )
@@ -137,15 +137,17 @@
         return status
 
 
-def _document(service: str, grants: GrantSet) -> dict[str, Any]:
+def encode_grants(service: str, grants: GrantSet) -> bytes:
+    """Return the body of ``POST /grants``."""
     valid = None if grants.valid is None else max(0, to_milliseconds(grants.valid))
-    return {
+    document = {
         "service": service,
         "grants": [_range(r) | {"valid_ms": valid} for r in grants.granted],
         "keys": [_key(*key) | {"valid_ms": valid} for key in grants.granted_keys],
         "revoked": [_range(r) for r in grants.revoked],
         "revoked_keys": [_key(*key) for key in grants.revoked_keys],
     }
+    return json.dumps(document, separators=(",", ":")).encode()
 
 
 def _range(r: SlotRange) -> dict[str, Any]:
--- a/laburnumhatch/ownership/group_driver.py
+++ b/laburnumhatch/ownership/group_driver.py
@@ -35,7 +35,7 @@
 from .flights import Flights
 from .grants import GrantAnswer, GrantSender
 from .group import handle_event
-from .lookup import EMPTY_LOOKUP, Lookup, build_lookup
+from .lookup import build_lookup, empty_lookup
 from .messages import OwnershipMessage
 from .row import GroupRow, InvalidRow, decode_row, encode_row
 from .slots import group_name
@@ -93,13 +93,14 @@
     ) -> None:
         self.service = service
         self.state = GroupState(setup, tuple(target.name for target in service.targets))
-        self.lookup: Lookup = EMPTY_LOOKUP
+        self.lookup = empty_lookup()
         self.flights = Flights(self._on_drained)
         self._outside = outside
         self._on_tick = on_tick
         self.key = group_name(setup.service, setup.group)
         self._events: deque[Event] = deque()
         self._handling = False
+        self._lookup_content: tuple[Any, ...] | None = None
         self._timer: Cancellable | None = None
         self._stopped = False
 
@@ -125,7 +126,7 @@
     def cancel(self) -> None:
         """Take no further part, without a handover."""
         self._stopped = True
-        self.lookup = EMPTY_LOOKUP
+        self.lookup = empty_lookup()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
@@ -172,10 +173,20 @@
             case TellServer():
                 self._begin(self._tell(effect))
             case LeaseChanged():
-                self.lookup = build_lookup(self.state.setup.service, self.state.lease)
+                self._renew_lookup()
             case AwaitDrain():
                 self.flights.wait(effect, self._is_covered)
 
+    def _renew_lookup(self) -> None:
+        """Build the look-up anew only where more than the lease's end has changed."""
+        lease = self.state.lease
+        version = lease.row.version if lease.row is not None else 0
+        content = (version, frozenset(lease.closed_slots), frozenset(lease.closed_keys))
+        if content != self._lookup_content:
+            self._lookup_content = content
+            self.lookup = build_lookup(self.state.setup.service, lease)
+        self.lookup.expires = lease.expires
+
     def _begin(self, work: Coroutine[Any, Any, Event]) -> None:
         done: Deferred[Any] = Deferred.fromCoroutine(work)
         done.addCallback(self.dispatch)
--- a/laburnumhatch/ownership/lookup.py
+++ b/laburnumhatch/ownership/lookup.py
@@ -8,7 +8,7 @@
 from .row import GroupRow
 from .state import LONG_AGO, RoutingLease
 
-__all__ = ["EMPTY_LOOKUP", "Lookup", "build_lookup"]
+__all__ = ["Lookup", "build_lookup", "empty_lookup"]
 
 RETRY_AFTER = milliseconds(500)
 
@@ -79,14 +79,16 @@
         return self.servers[offset] is not None and self.epochs[offset] == epoch
 
 
-EMPTY_LOOKUP = Lookup("", 0, (), (), {}, LONG_AGO)
+def empty_lookup() -> Lookup:
+    """Return the look-up of an instance that holds no lease."""
+    return Lookup("", 0, (), (), {}, LONG_AGO)
 
 
 def build_lookup(service: str, lease: RoutingLease) -> Lookup:
     """Return the look-up for a routing lease; cost linear in the group's slots."""
     row = lease.row
     if row is None:
-        return EMPTY_LOOKUP
+        return empty_lookup()
     names: tuple[str | None, ...] = (*row.servers, None)
     servers = [names[owner] for owner in row.owners]
     for slot in lease.closed_slots:
--- /dev/null
+++ b/laburnumhatch/ownership/slopes.py
@@ -0,0 +1,189 @@
+"""Cost of ownership against the number of slots and of entry instances.
+
+Run as ``python -m laburnumhatch.ownership.slopes``; prints one JSON object a line.
+"""
+
+import json
+import random
+import time
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import asdict, dataclass, replace
+from datetime import timedelta
+from functools import partial
+
+from ..links import Codec
+from .coordinator import answer_lease_request
+from .effects import SendMessage
+from .grants import GrantSet, encode_grants, slot_ranges
+from .lookup import build_lookup
+from .messages import OWNERSHIP_MESSAGES, LeaseGrant, LeaseRequest
+from .owner import Owner
+from .row import GroupRow, decode_row, encode_row, initial_owners
+from .state import LONG_AGO, GroupSetup, GroupState, RoutingLease, Term
+
+__all__ = ["LeaseCost", "RowCost", "measure_leases", "measure_rows"]
+
+SLOT_COUNTS = (1_024, 16_384, 262_144)
+ENTRY_COUNTS = (8, 100, 1_700)
+SERVER_COUNT = 15
+MOVED_SHARE = 0.1
+SEED = 11
+MICROSECONDS = 1e6
+FIRST_NUMBER = 100
+CALLS = 20_000
+FEW_CALLS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class RowCost:
+    """Cost of a group's row.
+
+    Attributes
+    ----------
+    slots : int
+    row_bytes : int
+        With no move so far.
+    moved_row_bytes : int
+        After a tenth of the slots moved, each by a write of its own.
+    encode_us, decode_us : float
+        Microseconds to encode and decode the latter.
+    build_us : float
+        Microseconds to build the look-up when a lease changes.
+    owner_of_us, is_current_us : float
+        Microseconds of one look-up.
+    grant_bytes : int
+        Body of one server's grants after the moves.
+    """
+
+    slots: int
+    row_bytes: int
+    moved_row_bytes: int
+    encode_us: float
+    decode_us: float
+    build_us: float
+    owner_of_us: float
+    is_current_us: float
+    grant_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseCost:
+    """Cost of leases at a coordinator.
+
+    Attributes
+    ----------
+    entries : int
+    request_bytes, grant_bytes : int
+        Encoded lease request and grant, with nothing new in them.
+    answer_us : float
+        Microseconds of the coordinator to decide on one request.
+    """
+
+    entries: int
+    request_bytes: int
+    grant_bytes: int
+    answer_us: float
+
+
+def measure_rows() -> Iterator[RowCost]:
+    """Return the cost of rows of three sizes."""
+    for slots in SLOT_COUNTS:
+        row = _row(slots)
+        moved = _moved(row)
+        encoded = encode_row(moved)
+        lease = RoutingLease(row=moved, expires=timedelta(days=1))
+        lookup = build_lookup("service", lease)
+        now = timedelta()
+        owner = lookup.owner_of(2**63, slots // 2, now)
+        assert isinstance(owner, Owner)
+        yield RowCost(
+            slots=slots,
+            row_bytes=len(encode_row(row)),
+            moved_row_bytes=len(encoded),
+            encode_us=_time(partial(encode_row, moved), FEW_CALLS),
+            decode_us=_time(partial(decode_row, encoded, 1, ""), FEW_CALLS),
+            build_us=_time(partial(build_lookup, "service", lease), FEW_CALLS),
+            owner_of_us=_time(partial(lookup.owner_of, 2**63, slots // 2, now), CALLS),
+            is_current_us=_time(partial(lookup.is_current, owner, now), CALLS),
+            grant_bytes=_grant_bytes(moved),
+        )
+
+
+def measure_leases() -> Iterator[LeaseCost]:
+    """Return the cost of leases for three numbers of entry instances."""
+    codec = Codec([(FIRST_NUMBER, OWNERSHIP_MESSAGES)])
+    for entries in ENTRY_COUNTS:
+        state = _coordinator_state()
+        requests = [
+            LeaseRequest("loft-availability", 0, f"entry-{n}/0a1b2c3d", 1, 1, 1)
+            for n in range(entries)
+        ]
+        for request in requests:
+            answer_lease_request(state, "entry", request, timedelta())
+        effect = answer_lease_request(state, "entry", requests[0], timedelta())[0]
+        assert isinstance(effect, SendMessage) and isinstance(effect.message, LeaseGrant)
+        rounds = CALLS // entries
+        answer_all = partial(_answer_all, state, requests)
+        yield LeaseCost(
+            entries=entries,
+            request_bytes=len(codec.encode(requests[0])),
+            grant_bytes=len(codec.encode(effect.message)),
+            answer_us=_time(answer_all, rounds) / entries,
+        )
+
+
+def _answer_all(state: GroupState, requests: Sequence[LeaseRequest]) -> None:
+    for request in requests:
+        answer_lease_request(state, "entry", request, timedelta())
+
+
+def _row(slots: int) -> GroupRow:
+    servers = tuple(f"loft-{n}" for n in range(SERVER_COUNT))
+    owners = initial_owners(slots, SERVER_COUNT)
+    return GroupRow(1, "entry-1/0a1b2c3d", ("entry-2/0a1b2c3d",), 0, servers, owners, (1,) * slots)
+
+
+def _moved(row: GroupRow) -> GroupRow:
+    generator = random.Random(SEED)
+    owners = list(row.owners)
+    epochs = list(row.epochs)
+    for epoch, slot in enumerate(
+        generator.sample(range(len(owners)), int(len(owners) * MOVED_SHARE)), 2
+    ):
+        owners[slot] = generator.randrange(SERVER_COUNT)
+        epochs[slot] = epoch
+    return replace(row, owners=tuple(owners), epochs=tuple(epochs), version=max(epochs))
+
+
+def _grant_bytes(row: GroupRow) -> int:
+    owned = ((slot, row.epochs[slot]) for slot, owner in enumerate(row.owners) if owner == 0)
+    grants = GrantSet(granted=slot_ranges(owned), valid=timedelta(seconds=1))
+    return len(encode_grants("loft-availability", grants))
+
+
+def _coordinator_state() -> GroupState:
+    row = _row(SLOT_COUNTS[0])
+    setup = GroupSetup(
+        "loft-availability", 0, range(SLOT_COUNTS[0]), False, row.coordinator, "lade"
+    )
+    state = GroupState(setup, row.servers, known=row)
+    state.term = Term(timedelta(), 1, (), LONG_AGO, LONG_AGO, LONG_AGO, renewed=timedelta())
+    return state
+
+
+def _time(call: Callable[[], object], count: int) -> float:
+    started = time.perf_counter()
+    for _ in range(count):
+        call()
+    return (time.perf_counter() - started) / count * MICROSECONDS
+
+
+def main() -> None:
+    """Print all costs."""
+    costs: list[RowCost | LeaseCost] = [*measure_rows(), *measure_leases()]
+    for cost in costs:
+        print(json.dumps({type(cost).__name__: asdict(cost)}))
+
+
+if __name__ == "__main__":
+    main()
--- a/laburnumhatch/ownership/tests/test_rules.py
+++ b/laburnumhatch/ownership/tests/test_rules.py
@@ -8,7 +8,15 @@
 from ..effects import MessageArrived
 from ..messages import Handover
 from ..rules import Rules
-from .protocol_world import NAMES, SERVERS, STEP, OwnersOverlap, settled_world, with_rules_off
+from .protocol_world import (
+    NAMES,
+    SERVERS,
+    STEP,
+    TIMING,
+    OwnersOverlap,
+    settled_world,
+    with_rules_off,
+)
 
 LONG = timedelta(seconds=4)
 
@@ -169,3 +177,23 @@
     world = settled_world(rules=with_rules_off(*left_out))
     with pytest.raises(OwnersOverlap):
         scenario(world)
+
+
+@pytest.mark.parametrize("standby_is_new", [False, True])
+def test_stranger_need_not_wait_for_the_cap(standby_is_new):
+    """A former standby, or its new process, rules out a longer hold; the debt is then settled."""
+    world = settled_world(rules=Rules())
+    coordinator, standby, third, fourth = _roles(world)
+    world.nodes[standby].table_cut = True
+    if standby_is_new:
+        world.start_node(standby)
+        world.nodes[standby].table_cut = True
+    world.nodes[coordinator].paused = True
+    _run_until_coordinator(world, {third, fourth})
+    assert world.row.debt >= TIMING.hold_cap
+    _move_lost_slot(world)
+    moved_to = world.row.servers[world.row.owners[0]]
+    world.run(timedelta(seconds=3))
+    assert world.routed_by(third, 0) == world.routed_by(fourth, 0) == moved_to
+    world.run(LONG)
+    assert not world.row.debt
