Make a new instance ready only with its first leases

Weighed and dropped: waiting for leases at any time, since an outage or a new service would make all instances unready together.

The test of an instance that joins failed before (503, code 302 right after /readyz) and passes now. Also counts the work of answered requests for the planner, which nothing did.

--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -20,6 +20,7 @@
 from ..routing.match import Matcher
 from ..settings import InstanceSettings, ListenAddress
 from .admin import AdminPages, build_admin_site
+from .first_leases import FirstLeases
 from .lifecycle import LifecycleActions, build_lifecycle
 from .messages import build_codec
 
@@ -84,7 +85,7 @@
             reasons.append(f"the instance is {state}")
         if self._configuration.snapshot is None:
             reasons.append(f"no configuration: {self._configuration.problem}")
-        return reasons
+        return reasons + self._first_leases.unready_reasons()
 
     def status(self) -> dict[str, Any]:
         """Return the state of the instance, for the operators."""
@@ -197,7 +198,9 @@
             self._table,
             entry_count=self._live_count,
             registry=self._registry,
+            work_done=self._ownership.note_work,
         )
+        self._first_leases = FirstLeases(self._clock, self._ownership.unleased_services)
 
     def _live_count(self) -> int:
         return len(self._instances.live())
@@ -219,6 +222,7 @@
     def _use_snapshot(self, snapshot: Snapshot) -> None:
         self._targets.follow(snapshot)
         self._ownership.use_snapshot(snapshot)
+        self._first_leases.configured()
         self._matcher = build_matcher(snapshot)
 
     def _become_unready(self) -> None:
--- a/laburnumhatch/entry/tests/test_whole_path.py
+++ b/laburnumhatch/entry/tests/test_whole_path.py
@@ -17,6 +17,7 @@
 ENTRIES = ("entry-1", "entry-2")
 NAMES = ("rosa", "b 2/æ")
 ENCODED_NAMES = ("rosa", "b%202%2F%C3%A6")
+STOCK = "timber-yard-stock-ledger"
 FILM_BYTES = 300_000
 OWNED_WITHIN = timedelta(seconds=10)
 
@@ -50,6 +51,19 @@
     assert codes == [0, 0], [child.output for child in deployment.entries.values()]
 
 
+@pytest_twisted.ensureDeferred
+async def test_instance_that_joins_answers_keyed_requests_once_it_is_ready(processes, caller):
+    deployment = await start_deployment(
+        processes, caller, EXAMPLES / "caroni", ENTRIES, services=frozenset({STOCK})
+    )
+    assert (await deployment.publish()).exit_code == 0
+    await deployment.entries_ready()
+    await deployment.start_entries(["entry-3"])
+    await deployment.entry_ready("entry-3")
+    answer = await caller.send("GET", f"{deployment.entry_url('entry-3')}/stock/greenheart")
+    assert answer.status == 200, answer
+
+
 async def _owners(deployment):
     """Return the owner of each name of each owned service, as both entries explain it."""
     owners = {}
--- a/laburnumhatch/ownership/keeper.py
+++ b/laburnumhatch/ownership/keeper.py
@@ -165,6 +165,14 @@
             for service, (first, *further) in described.items()
         }
 
+    def unleased_services(self) -> list[str]:
+        """Return the services of which this instance has held no whole lease yet."""
+        return [
+            service
+            for service, groups in self._services.items()
+            if not all(driver.lookup.servers for driver in groups.drivers)
+        ]
+
     def _receive(self, instance: str, message: OwnershipMessage) -> None:
         groups = self._services.get(message.service)
         if groups is not None and 0 <= message.group < len(groups.planned):
