--- a/laburnumhatch/entry/tests/test_whole_path.py
+++ b/laburnumhatch/entry/tests/test_whole_path.py
@@ -17,6 +17,7 @@
 ENTRIES = ("entry-1", "entry-2")
 NAMES = ("rosa", "b 2/æ")
 ENCODED_NAMES = ("rosa", "b%202%2F%C3%A6")
+STOCK = "timber-yard-stock-ledger"
 FILM_BYTES = 300_000
 OWNED_WITHIN = timedelta(seconds=10)
 
@@ -43,12 +44,26 @@
     assert len(sent) == len(ENTRIES) * 12 * len(NAMES) - (4 if example == "duefjaer" else 0)
     await gatherResults([Deferred.fromCoroutine(one) for one in sent], consumeErrors=True)
     await _check_refusal(deployment)
+    await _check_metrics(deployment, len(sent) // len(ENTRIES))
     for entry in ENTRIES:
         deployment.entries[entry].process.terminate()
     codes = [await processes.ended(deployment.entries[entry]) for entry in ENTRIES]
     assert codes == [0, 0], [child.output for child in deployment.entries.values()]
 
 
+@pytest_twisted.ensureDeferred
+async def test_instance_that_joins_answers_keyed_requests_once_it_is_ready(processes, caller):
+    deployment = await start_deployment(
+        processes, caller, EXAMPLES / "caroni", ENTRIES, services=frozenset({STOCK})
+    )
+    assert (await deployment.publish()).exit_code == 0
+    await deployment.entries_ready()
+    await deployment.start_entries(["entry-3"])
+    await deployment.entry_ready("entry-3")
+    answer = await caller.send("GET", f"{deployment.entry_url('entry-3')}/stock/greenheart")
+    assert answer.status == 200, answer
+
+
 async def _owners(deployment):
     """Return the owner of each name of each owned service, as both entries explain it."""
     owners = {}
@@ -76,7 +91,7 @@
     query = "nonce=" + hashlib.sha256(nonce.encode()).hexdigest()
     if "film" in path or "/drawings/" in path:
         query += f"&answer_bytes={FILM_BYTES}"
-    body = b""
+    body = nonce.encode() * 100 if kind.method in ("POST", "PUT") else b""
     headers = {"Deadline-Ms": "20000"}
     if not kind.repeatable:
         headers["Idempotency-Key"] = f'"{hashlib.sha256(nonce.encode()).hexdigest()}"'
@@ -102,5 +117,11 @@
     assert (answer.document["code"], answer.document["run"]) == (101, "no")
 
 
+async def _check_metrics(deployment, answered):
+    page = await deployment.caller.send("GET", f"{deployment.admin_url('entry-1')}/metrics")
+    lines = [line for line in page.body.decode().splitlines() if 'code="0"' in line]
+    assert sum(float(line.rpartition(" ")[2]) for line in lines) == answered
+
+
 def _digest(content):
     return hashlib.sha256(content).hexdigest()
--- a/laburnumhatch/membership/directory.py
+++ b/laburnumhatch/membership/directory.py
@@ -1,7 +1,6 @@
 """The entry instances that are alive, followed by list and by heartbeats."""
 
 import random
-import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from datetime import timedelta
@@ -17,7 +16,13 @@
 from .interfaces import Instance
 from .messages import Heartbeat, Introduction
 from .peers import choose_peers
-from .view import Heard, alive_instances, dialled_instances, live_instances
+from .view import (
+    Heard,
+    alive_instances,
+    dialled_instances,
+    live_instances,
+    silent_instances,
+)
 
 __all__ = ["InstanceDirectory"]
 
@@ -68,11 +73,13 @@
         self._seeds = seeds
         self._on_change = on_change
         self._jitter = jitter
-        self._introduction = Introduction(own, secrets.token_hex(8))
         self._leaving = False
         self._listed: tuple[ListedInstance, ...] = ()
         self._heard: dict[str, Heard] = {}
+        self._silent: frozenset[str] = frozenset()
         self._live: tuple[Instance, ...] = (own,)
+        self._dialled: tuple[Instance, ...] = ()
+        self._peers: frozenset[str] = frozenset()
         self._last_tick = timedelta()
         self._timers: dict[str, Cancellable] = {}
         self._running = False
@@ -95,6 +102,7 @@
         """Start following the platform's list and sending heartbeats."""
         self._running = True
         self._last_tick = self._clock.now()
+        self._update()
         self._poll()
         self._tick()
 
@@ -111,17 +119,13 @@
         self._send_heartbeats()
 
     def _connected(self, name: str) -> None:
-        self._links.send(name, self._introduction)
-        self._links.send(name, Heartbeat(self._leaving))
+        self._links.send(name, Introduction(self._own, self._leaving))
 
     def _introduced(self, name: str, message: Introduction) -> None:
         if message.instance.name != name:
             _log.error("{} introduces itself as {}", name, message.instance.name)
             return
-        known = self._heard.get(name)
-        leaving = known.leaving if known and known.incarnation == message.incarnation else False
-        now = self._clock.now()
-        self._heard[name] = Heard(message.instance, message.incarnation, leaving, now)
+        self._heard[name] = Heard(message.instance, message.leaving, self._clock.now())
         self._update()
 
     def _beat(self, name: str, message: Heartbeat) -> None:
@@ -129,7 +133,7 @@
         if known is None:
             return
         self._heard[name] = replace(known, leaving=message.leaving, last=self._clock.now())
-        if message.leaving != known.leaving:
+        if message.leaving != known.leaving or name in self._silent:
             self._update()
 
     def _tick(self) -> None:
@@ -139,7 +143,8 @@
         if late > HEARTBEAT_INTERVAL:
             self._allow_for_pause(late)
         self._send_heartbeats()
-        self._update()
+        if silent_instances(self._heard, now) != self._silent:
+            self._update()
         if self._running:
             self._timers["tick"] = self._clock.call_later(HEARTBEAT_INTERVAL, self._tick)
 
@@ -167,18 +172,19 @@
 
     async def _fetch(self) -> None:
         listed = await self._instance_list.fetch()
-        if not isinstance(listed, Unavailable):
+        if not isinstance(listed, Unavailable) and listed != self._listed:
             self._listed = listed
             self._update()
 
     def _update(self) -> None:
         now = self._clock.now()
         self._forget(now)
+        self._silent = silent_instances(self._heard, now)
         dialled = dialled_instances(self._listed, self._heard, self._seeds, self._own, now)
-        peers = choose_peers(dialled, self._own)
-        names = {peer.name for peer in peers}
-        live = live_instances(self._listed, self._heard, names, self._own, now)
-        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in peers)
+        if dialled != self._dialled:
+            self._dialled = dialled
+            self._choose_peers()
+        live = live_instances(self._listed, self._heard, self._peers, self._own, now)
         if live == self._live:
             return
         _log.info("live instances: {}", ", ".join(i.name for i in live))
@@ -186,6 +192,11 @@
         if self._on_change is not None:
             self._on_change(live)
 
+    def _choose_peers(self) -> None:
+        peers = choose_peers(self._dialled, self._own)
+        self._peers = frozenset(peer.name for peer in peers)
+        self._links.set_peers(PeerAddress(i.name, i.host, i.peer_port) for i in peers)
+
     def _forget(self, now: timedelta) -> None:
         for name, heard in list(self._heard.items()):
             if now - heard.last > FORGET_AFTER:
