State the base version of racing publishers

Ruled out: a fault in publishing: under a slow table the second ends with exit code 3. Change: both publishers state the version that they started from. Conclusion: the verdict no longer depends on when the processes start.

--- a/laburnumhatch/faults/scenarios.py
+++ b/laburnumhatch/faults/scenarios.py
@@ -210,7 +210,12 @@
 
 async def racing_publishers(world: World) -> list[Verdict]:
     """Publish two different changes at the same time."""
-    commands = [Deferred.fromCoroutine(world.publish_changed(weight)) for weight in (2.0, 3.0)]
+    base = ("--expected-version", str(await _version(world, ENTRIES[0])))
+    # Slow enough that both may read the same version before either writes.
+    await world.platform_faults(table={"slow_ms": RACE_MS})
+    commands = [
+        Deferred.fromCoroutine(world.publish_changed(weight, *base)) for weight in (2.0, 3.0)
+    ]
     codes = sorted(child.exit_code or 0 for child in await gatherResults(commands))
     versions = [await _version(world, name) for name in ENTRIES]
     held = codes == [0, int(ExitCode.CONFLICT)] and len(set(versions)) == 1
