Refuse at the deadline while an idempotency key is being claimed

Cause: the end of a request's wait cancelled the call to the table, whose client took that for its own timeout and answered "outcome unknown"; the claim then read back and wrote again, each for another 1.5 s, while the caller had no answer. Ruled out: a shorter timeout of the table, which only makes the same wait shorter. Change: the client raises when the caller gives a call up before its timeout; the claim goes on by itself after the request's end and is then settled as not run, so that the key may be used again. The new test fails before the change. Conclusion: a request that was given up gets its answer at once, also while it waits for the table.

--- a/laburnumhatch/platform/http.py
+++ b/laburnumhatch/platform/http.py
@@ -70,7 +70,13 @@
     async def call(
         self, method: str, url: str, headers: dict[str, str], body: bytes = b""
     ) -> HttpAnswer | NotSent | ReplyLost:
-        """Return the whole answer to one HTTP call, or why there is none."""
+        """Return the whole answer to one HTTP call, or why there is none.
+
+        Raises
+        ------
+        CancelledError
+            If the caller gives the call up before its timeout.
+        """
         call = Deferred.fromCoroutine(self._call(method, url, headers, body))
         timeout = self._clock.call_later(CALL_TIMEOUT, call.cancel)
         try:
@@ -78,6 +84,8 @@
         except ConnectError as e:
             return NotSent(f"{url}: {e}", isinstance(e, ConnectionRefusedError))
         except CancelledError:
+            if timeout.active():
+                raise
             return ReplyLost(f"{url}: no answer within {CALL_TIMEOUT}")
         except Exception as e:
             return ReplyLost(f"{url}: {type(e).__name__}: {e}")
--- a/laburnumhatch/requests/exchange.py
+++ b/laburnumhatch/requests/exchange.py
@@ -5,6 +5,7 @@
 import logbook
 import xxhash
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from ..clocks import Cancellable
 from ..results import Refusal, ResultCode, Run
@@ -149,11 +150,23 @@
             return Refusal(ResultCode.IDEMPOTENCY_KEY_INVALID)
         row_key = claim_key(match.service.name, kind.name, given.decode())
         claiming = claim_request(table, row_key, self._fingerprint(), self._id)
+        # Only the wait ends with the request; the claim goes on, so that its outcome is known.
+        claimed: Deferred[HeldClaim | Refusal] = Deferred()
+        Deferred.fromCoroutine(claiming).addBoth(self._claim_ended, claimed)
         try:
-            held: HeldClaim | Refusal = await self._waits.wait(Deferred.fromCoroutine(claiming))
+            return await self._waits.wait(claimed)
         except Exception:
             return self._waits.interruption or Refusal(ResultCode.CLAIM_UNAVAILABLE)
-        return held
+
+    def _claim_ended(
+        self, result: HeldClaim | Refusal | Failure, claimed: Deferred[HeldClaim | Refusal]
+    ) -> None:
+        if not claimed.called:
+            claimed.callback(result)
+        elif isinstance(result, HeldClaim):
+            assert self._context.claims is not None
+            given_up = settle_claim(self._context.claims, result, ClaimState.NOT_RUN, None)
+            self._context.run_aside(given_up)
 
     def _fingerprint(self) -> str:
         request, body = self._request, self._body
--- a/laburnumhatch/requests/tests/test_claims.py
+++ b/laburnumhatch/requests/tests/test_claims.py
@@ -4,9 +4,9 @@
 
 import pytest
 import pytest_twisted
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
-from ...platform import Row
+from ...platform import OutcomeUnknown, Row
 from ..claims import HeldClaim, claim_key, claim_request
 from .conftest import kind, until
 
@@ -117,3 +117,35 @@
     row = table.rows[row_key]
     assert isinstance(row, Row) and "secret" not in row_key
     assert set(json.loads(row.value)) == {"fingerprint", "request_id", "state", "status"}
+
+
+@pytest_twisted.ensureDeferred
+async def test_claim_that_outlasts_the_deadline_is_refused_at_once_and_then_given_up(bench, table):
+    server = bench.server("till-1")
+    bench.route(SET)
+    server.script = [lambda sent: sent.answer()]
+    first, second = await _two_entries(bench)
+    pending = []
+
+    def slow(call):
+        async def wait_and_call(*arguments):
+            pending.append(Deferred())
+            try:
+                await pending[-1]
+            except CancelledError:
+                return OutcomeUnknown("the wait was cancelled")
+            return await call(*arguments)
+
+        return wait_and_call
+
+    write, read = table.write, table.read
+    table.write, table.read = slow(write), slow(read)
+    first.send("PUT", Idempotency_Key="k1")
+    await until(lambda: bench.paths[0].in_flight == 1)
+    bench.clock.advance(SET.deadline)
+    assert (await first.answer()).refusal[1] == "no"
+    table.write, table.read = write, read
+    pending[0].callback(None)
+    second.send("PUT", Idempotency_Key="k1")
+    assert (await second.answer()).body == b"ok"
+    assert len(server.requests) == 1
