Choose targets by latency class, and measure it against six other ways

Weighed: random, round robin, least outstanding, two choices, subsets of four, probing by requests in flight and latency (as in Prequal), plain expected latency (smoothed latency times requests in flight plus one), peak-sensitive expected latency. Change: requests in flight plus one, times the power of two by which the smoothed latency exceeds the service's usual one; ties to the own data centre. A target gets at most this instance's share of its connections; large services are cut to a subset per instance, and a choice compares 16 targets at most.

--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,8 @@
 faults: $(READY)
 	$(PY) -m laburnumhatch faults
 
+measure: $(READY)
+	$(VENV)/bin/laburnumhatch measure all --figures docs/figures
+
 clean:
 	rm -rf $(VENV)
--- a/laburnumhatch/balancing/__init__.py
+++ b/laburnumhatch/balancing/__init__.py
@@ -1,6 +1,6 @@
 """Choice of targets for services without exclusive owners."""
 
-from .chooser import TwoChoices
-from .interfaces import TargetChooser
+from .chooser import LatencyClassChooser
+from .interfaces import OpenTargets, TargetChooser
 
-__all__ = ["TargetChooser", "TwoChoices"]
+__all__ = ["LatencyClassChooser", "OpenTargets", "TargetChooser"]
--- a/laburnumhatch/balancing/interfaces.py
+++ b/laburnumhatch/balancing/interfaces.py
@@ -5,7 +5,14 @@
 
 from ..routing import Service, Target
 
-__all__ = ["TargetChooser"]
+__all__ = ["OpenTargets", "TargetChooser"]
+
+
+class OpenTargets(Protocol):
+    """The part of `membership.TargetView` that a choice needs."""
+
+    def takes_new_work(self, service: str, target: str) -> bool:
+        """Return whether new requests may be sent to a target."""
 
 
 class TargetChooser(Protocol):
--- /dev/null
+++ b/laburnumhatch/balancing/subset.py
@@ -0,0 +1,55 @@
+"""The targets of a service that one entry instance uses."""
+
+import xxhash
+
+from ..routing import Service, Target
+
+__all__ = ["SMALLEST_SUBSET", "choose_subset", "subset_size"]
+
+SMALLEST_SUBSET = 64
+# Instances that use one target, on average.
+INSTANCES_PER_TARGET = 20
+
+
+def subset_size(target_count: int, instance_count: int) -> int:
+    """Return how many targets one instance uses.
+
+    Examples
+    --------
+    >>> subset_size(8, 8), subset_size(1_000, 1_700), subset_size(100_000, 1_700)
+    (8, 64, 1177)
+    """
+    needed = -(-INSTANCES_PER_TARGET * target_count // max(1, instance_count))
+    return min(target_count, max(SMALLEST_SUBSET, needed))
+
+
+def choose_subset(
+    service: Service, instance: str, data_centre: str, size: int
+) -> tuple[Target, ...]:
+    """Return the targets that an instance uses, near ones first.
+
+    Parameters
+    ----------
+    service : Service
+    instance, data_centre : str
+        Name and data centre of the entry instance.
+    size : int
+
+    Notes
+    -----
+    Half of the targets come from the instance's own data centre, as far as there are as many,
+    and the rest from all others; among equals the hash of instance and target decides, so that
+    the instances' subsets differ. The cost is O(n log n) for n targets, once a configuration.
+    """
+    if size >= len(service.targets):
+        ranked = list(service.targets)
+    else:
+        ranked = sorted(service.targets, key=lambda target: _weight(instance, target))
+    near = [target for target in ranked if target.data_centre == data_centre]
+    far = [target for target in ranked if target.data_centre != data_centre]
+    near_count = min(len(near), max(size // 2, size - len(far)))
+    return (*near[:near_count], *far[: size - near_count])
+
+
+def _weight(instance: str, target: Target) -> int:
+    return xxhash.xxh3_64_intdigest(f"{instance}\0{target.name}".encode())
--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -3,6 +3,7 @@
 import click
 
 from ..faults.command import faults
+from ..measures.command import measure
 from .check import check
 from .diff import diff
 from .entry import entry
@@ -20,5 +21,5 @@
     """Route keyed requests to the servers that own their keys."""
 
 
-for command in (check, diff, entry, explain, faults, publish, rollback, standin, status):
+for command in (check, diff, entry, explain, faults, measure, publish, rollback, standin, status):
     main.add_command(command)
--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -7,7 +7,7 @@
 from aioprometheus import Registry
 from twisted.internet.defer import Deferred
 
-from ..balancing import TwoChoices
+from ..balancing import LatencyClassChooser
 from ..clocks import Clock
 from ..configuration import ConfigurationFollower
 from ..links import PeerLinks
@@ -180,8 +180,10 @@
             self._targets,
             plan_moves,
         )
-        chooser = TwoChoices(
+        chooser = LatencyClassChooser(
+            clock=self._clock,
             targets=self._targets,
+            instance=settings.name,
             data_centre=settings.data_centre,
             live_instances=self._live_count,
             random_source=random.Random(),
--- /dev/null
+++ b/laburnumhatch/measures/baseline_choosers.py
@@ -0,0 +1,184 @@
+"""Choices of targets that the one in `balancing` is compared with."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+
+import xxhash
+
+from ..balancing import OpenTargets
+from ..routing import Service, Target
+
+__all__ = [
+    "LeastOutstanding",
+    "ProbedChoice",
+    "RandomChoice",
+    "RoundRobin",
+    "SubsetChoice",
+    "TwoChoices",
+]
+
+PROBES_PER_REQUEST = 2
+PROBES_KEPT = 16
+HOT_QUANTILE = 0.75
+
+
+class RandomChoice:
+    """Any target that takes new work."""
+
+    def __init__(self, *, targets: OpenTargets, random_source: random.Random) -> None:
+        self._targets = targets
+        self._random = random_source
+        self._in_flight: Counter[str] = Counter()
+
+    def choose(self, service: Service, excluded: frozenset[str]) -> Target | None:
+        """Return a target, or None."""
+        usable = self._usable(service, excluded)
+        return self._pick(usable) if usable else None
+
+    def request_started(self, service: str, target: str) -> None:
+        """Count the request."""
+        self._in_flight[target] += 1
+
+    def request_ended(self, service: str, target: str, latency: timedelta, answered: bool) -> None:
+        """Count the request."""
+        self._in_flight[target] -= 1
+
+    def _usable(self, service: Service, excluded: frozenset[str]) -> list[Target]:
+        return [
+            target
+            for target in service.targets
+            if target.name not in excluded
+            and self._targets.takes_new_work(service.name, target.name)
+        ]
+
+    def _pick(self, usable: list[Target]) -> Target:
+        return self._random.choice(usable)
+
+
+class RoundRobin(RandomChoice):
+    """Each target in turn, from a random first one."""
+
+    def __init__(self, *, targets: OpenTargets, random_source: random.Random) -> None:
+        super().__init__(targets=targets, random_source=random_source)
+        self._next = random_source.randrange(1000)
+
+    def _pick(self, usable: list[Target]) -> Target:
+        self._next += 1
+        return usable[self._next % len(usable)]
+
+
+class LeastOutstanding(RandomChoice):
+    """The target with the fewest requests of this instance in flight; near ones first."""
+
+    def __init__(
+        self, *, targets: OpenTargets, random_source: random.Random, data_centre: str
+    ) -> None:
+        super().__init__(targets=targets, random_source=random_source)
+        self._data_centre = data_centre
+
+    def _pick(self, usable: list[Target]) -> Target:
+        return min(
+            usable,
+            key=lambda target: (
+                self._in_flight[target.name],
+                target.data_centre != self._data_centre,
+                self._random.random(),
+            ),
+        )
+
+
+class TwoChoices(LeastOutstanding):
+    """The less busy of two random targets.
+
+    References
+    ----------
+    .. [1] M. Mitzenmacher, The power of two choices in randomized load balancing, 2001.
+    """
+
+    def _usable(self, service: Service, excluded: frozenset[str]) -> list[Target]:
+        usable = super()._usable(service, excluded)
+        return self._random.sample(usable, min(2, len(usable)))
+
+
+class SubsetChoice(LeastOutstanding):
+    """The least busy target of this instance's own few, while one of them takes new work.
+
+    References
+    ----------
+    .. [1] B. Beyer et al., Site Reliability Engineering, chapter 20, 2016.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: OpenTargets,
+        random_source: random.Random,
+        data_centre: str,
+        instance: str,
+        size: int,
+    ) -> None:
+        super().__init__(targets=targets, random_source=random_source, data_centre=data_centre)
+        self._instance = instance
+        self._size = size
+
+    def _usable(self, service: Service, excluded: frozenset[str]) -> list[Target]:
+        usable = super()._usable(service, excluded)
+        usable.sort(key=lambda t: xxhash.xxh3_64_intdigest(f"{self._instance}/{t.name}".encode()))
+        return usable[: self._size]
+
+
+class ProbedChoice(RandomChoice):
+    """Choice by load readings that were asked for ahead of the request.
+
+    Notes
+    -----
+    Targets whose last reading is among the busiest quarter are hot. The choice is the cold
+    target with the lowest latency, or the least busy one where all are hot [1]_.
+
+    References
+    ----------
+    .. [1] B. Wydrowski et al., Load is not what you should balance: Introducing Prequal,
+       NSDI 2024.
+    """
+
+    def __init__(
+        self,
+        *,
+        targets: OpenTargets,
+        random_source: random.Random,
+        read_load: Callable[[Target], None],
+    ) -> None:
+        super().__init__(targets=targets, random_source=random_source)
+        self._read_load = read_load
+        self._readings: dict[str, tuple[int, float]] = {}
+
+    def choose(self, service: Service, excluded: frozenset[str]) -> Target | None:
+        """Return a target, or None, and ask for further readings."""
+        for target in self._random.sample(service.targets, PROBES_PER_REQUEST):
+            self._read_load(target)
+        return super().choose(service, excluded)
+
+    def note_load(self, target: str, in_flight: int, latency: float) -> None:
+        """Note a reading: requests in flight and recent latency in seconds."""
+        self._readings.pop(target, None)
+        self._readings[target] = (in_flight, latency)
+        if len(self._readings) > PROBES_KEPT:
+            del self._readings[next(iter(self._readings))]
+
+    def _pick(self, usable: list[Target]) -> Target:
+        known = [target for target in usable if target.name in self._readings]
+        if not known:
+            return self._random.choice(usable)
+        busy = sorted(self._readings[target.name][0] for target in known)
+        limit = busy[int(HOT_QUANTILE * (len(busy) - 1))]
+        cold = [target for target in known if self._readings[target.name][0] <= limit]
+        best = min(cold, key=lambda target: self._rank(target, limit))
+        in_flight, latency = self._readings[best.name]
+        self._readings[best.name] = (in_flight + 1, latency)
+        return best
+
+    def _rank(self, target: Target, limit: int) -> tuple[float, float]:
+        in_flight, latency = self._readings[target.name]
+        return (latency, in_flight) if in_flight < limit else (float("inf"), in_flight)
--- /dev/null
+++ b/laburnumhatch/measures/comparison.py
@@ -0,0 +1,130 @@
+"""Comparison of the product's decisions with simpler ones, on the same seeds."""
+
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+
+from ..planning import plan_moves
+from .baseline_plans import BASELINE_PLANS
+from .choosers import CHOOSERS, COMMON_CHOOSERS
+from .deployments import DEPLOYMENTS
+from .figures import KeyedFigures, TargetFigures, figures_as_dict
+from .keyed_run import run_keyed
+from .scenarios import SCENARIOS
+from .target_run import run_targets
+
+__all__ = ["CHOSEN", "PLANS", "Comparison", "compare_decisions", "default_cases"]
+
+CHOSEN = "chosen"
+PLANS = {CHOSEN: plan_moves, **BASELINE_PLANS}
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One run.
+
+    Attributes
+    ----------
+    subject : str
+        ``keyed`` for slots and servers, ``targets`` for services without exclusive owners.
+    deployment, scenario, decision : str
+    seed : int
+    utilization : float or None
+        Offered work over the capacity; the scenario's own by default.
+    """
+
+    subject: str
+    deployment: str
+    scenario: str
+    decision: str
+    seed: int
+    utilization: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Figures of the decisions in one scenario of one deployment, averaged over the seeds.
+
+    Attributes
+    ----------
+    subject, deployment, scenario : str
+    figures : dict of str to dict of str to float
+        For each decision, its figures by name.
+    """
+
+    subject: str
+    deployment: str
+    scenario: str
+    figures: dict[str, dict[str, float]]
+
+    def ratios(self, decision: str) -> dict[str, float | None]:
+        """Return a decision's figures over those of the chosen one; None where that is zero."""
+        chosen = self.figures[CHOSEN]
+        return {
+            name: value / chosen[name] if chosen[name] else None
+            for name, value in self.figures[decision].items()
+        }
+
+
+def default_cases(
+    scenarios: Iterable[str],
+    seeds: Sequence[int],
+    utilization: float | None = None,
+    common_only: bool = False,
+) -> list[Case]:
+    """Return the runs that compare decisions in some scenarios.
+
+    Parameters
+    ----------
+    scenarios : iterable of str
+    seeds : sequence of int
+    utilization : float, optional
+        Offered work over capacity; each scenario's own by default.
+    common_only : bool, optional
+        Leave out the choices of targets that were weighed and not kept.
+    """
+    cases = []
+    choosers = COMMON_CHOOSERS if common_only else CHOOSERS
+    for name in scenarios:
+        scenario = SCENARIOS[name]
+        for subject, decisions, applies in (
+            ("keyed", list(PLANS), scenario.keyed),
+            ("targets", list(choosers), scenario.keyless),
+        ):
+            if not applies:
+                continue
+            for deployment in DEPLOYMENTS:
+                cases += [
+                    Case(subject, deployment.name, name, decision, seed, utilization)
+                    for decision in decisions
+                    for seed in seeds
+                ]
+    return cases
+
+
+def compare_decisions(cases: Sequence[Case], workers: int) -> list[Comparison]:
+    """Run all cases in some processes and return their figures, by scenario and deployment."""
+    with ProcessPoolExecutor(workers) as pool:
+        results = list(pool.map(_run, cases))
+    runs: dict[tuple[str, str, str], dict[str, list[dict[str, float]]]] = {}
+    for case, figures in zip(cases, results, strict=True):
+        group = runs.setdefault((case.subject, case.deployment, case.scenario), {})
+        group.setdefault(case.decision, []).append(figures_as_dict(figures))
+    return [
+        Comparison(*group, {decision: _mean(rows) for decision, rows in decisions.items()})
+        for group, decisions in runs.items()
+    ]
+
+
+def _run(case: Case) -> KeyedFigures | TargetFigures:
+    deployment = next(d for d in DEPLOYMENTS if d.name == case.deployment)
+    scenario = SCENARIOS[case.scenario]
+    if case.utilization is not None:
+        scenario = replace(scenario, utilization=case.utilization)
+    if case.subject == "keyed":
+        return run_keyed(deployment, scenario, case.seed, PLANS[case.decision])
+    return run_targets(deployment, scenario, case.seed, CHOOSERS[case.decision])
+
+
+def _mean(rows: list[dict[str, float]]) -> dict[str, float]:
+    return {name: sum(row[name] for row in rows) / len(rows) for name in rows[0]}
--- /dev/null
+++ b/laburnumhatch/measures/event_loop.py
@@ -0,0 +1,36 @@
+"""A reactor whose time passes from event to event."""
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["EventLoop"]
+
+
+class EventLoop:
+    """The part of a Twisted reactor that keeps time, on a heap of events."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._count = 0
+        self._events: list[tuple[float, int, Callable[..., Any], tuple[Any, ...]]] = []
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+        return self._now
+
+    def call_at(self, at: float, call: Callable[..., Any], *args: Any) -> None:
+        """Run a call at an instant, in seconds."""
+        self._count += 1
+        heapq.heappush(self._events, (at, self._count, call, args))
+
+    def callLater(self, delay: float, callable: Callable[..., Any], *args: Any) -> None:
+        """Run a call after a delay, in seconds."""
+        self.call_at(self._now + delay, callable, *args)
+
+    def run_until(self, end: float) -> None:
+        """Run all events up to an instant, in seconds."""
+        while self._events and self._events[0][0] <= end:
+            self._now, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        self._now = end
--- /dev/null
+++ b/laburnumhatch/measures/keyed_run.py
@@ -0,0 +1,217 @@
+"""Drives the planner against stand-ins for servers, second by second."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import numpy as np
+from twisted.internet import task
+
+from ..clocks import ReactorClock
+from ..planning.interfaces import Move, PlanningView, ServerCondition
+from ..planning.load import LoadMeter, LoadReport, merge_load_reports
+from .deployments import ENTRY_COUNT, Deployment
+from .figures import KeyedFigures, latency_milliseconds
+from .keyed_servers import COLD_SECONDS, WORK_SECONDS, KeyedServer, serve_second
+from .keyed_workload import SLOT_COUNT, KeyedWorkload, make_keyed_workload
+from .scenarios import Event, EventKind, Scenario
+
+__all__ = ["PlanFunction", "run_keyed"]
+
+PlanFunction = Callable[[PlanningView], tuple[Move, ...]]
+
+# From a loss until the coordinator holds the server to be gone and every lease has run out.
+DETECTION_SECONDS = 2.5
+# Write, revocation, end of the requests in flight, grant.
+PAUSE_SECONDS = 0.06
+
+
+def run_keyed(
+    deployment: Deployment, scenario: Scenario, seed: int, plan: PlanFunction
+) -> KeyedFigures:
+    """Return the figures of a plan function in a scenario.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    scenario : Scenario
+    seed : int
+    plan : callable
+
+    Notes
+    -----
+    Each second, the requests drawn are metered by the entry instance that gets them, the plan
+    function is called with the merged reports, and its moves make their keys unavailable for
+    the time of a planned handoff. A server that stops or freezes is known to be gone some time
+    later. The imbalance is taken from the drawn shares, not from the requests, so it holds no
+    noise.
+    """
+    return _KeyedRun(deployment, scenario, seed, plan).run()
+
+
+class _KeyedRun:
+    """State of one run."""
+
+    def __init__(
+        self, deployment: Deployment, scenario: Scenario, seed: int, plan: PlanFunction
+    ) -> None:
+        self._deployment = deployment
+        self._scenario = scenario
+        self._plan = plan
+        self._generator = np.random.default_rng(seed)
+        self._workload: KeyedWorkload = make_keyed_workload(self._generator)
+        self._reactor = task.Clock()
+        self._clock = ReactorClock(self._reactor)
+        self._meters = [self._new_meter() for _ in range(ENTRY_COUNT)]
+        self._servers = [KeyedServer(deployment.slots) for _ in range(deployment.owners)]
+        self._owners = np.full(SLOT_COUNT, -1)
+        self._key_owners: dict[int, int] = {}
+        self._ready = np.zeros(len(self._workload.hashes))
+        self._index = {key_hash: i for i, key_hash in enumerate(self._workload.hashes)}
+        self._last_move = -1000.0
+        self._table_up = True
+        self._latencies: list[float] = []
+        self._imbalances: list[float] = []
+        self._churn_keys = self._churn_load = self._unavailable = 0.0
+        self._moves = self._writes = 0
+
+    def run(self) -> KeyedFigures:
+        """Run the scenario."""
+        events = list(self._scenario.events)
+        self._decide(0.0, first=True)
+        for second in range(self._scenario.seconds):
+            now = float(second)
+            while events and events[0].at <= now:
+                self._happen(events.pop(0), now)
+            self._serve(now)
+            self._observe(now)
+            self._reactor.advance(1.0)
+            self._decide(now + 1.0)
+        return self._figures()
+
+    def _new_meter(self) -> LoadMeter:
+        return LoadMeter(clock=self._clock, slot_count=SLOT_COUNT)
+
+    def _happen(self, event: Event, now: float) -> None:
+        server = self._servers[event.index % len(self._servers)]
+        match event.kind:
+            case EventKind.HOT_KEYS_CHANGE:
+                self._workload.change_hottest_keys()
+            case EventKind.SERVER_LEAVES:
+                server.leaving = True
+            case EventKind.SERVER_STOPS | EventKind.SERVER_FREEZES:
+                server.up = False
+                server.down_since = now
+            case EventKind.SERVER_STARTS:
+                server.restart(now)
+            case EventKind.SERVER_THAWS:
+                server.up = True
+            case EventKind.SERVER_SLOWS:
+                server.slow = True
+            case EventKind.ENTRY_REPLACED:
+                self._meters[event.index] = self._new_meter()
+                self._last_move = now
+            case EventKind.TABLE_DOWN | EventKind.TABLE_UP:
+                self._table_up = event.kind is EventKind.TABLE_UP
+
+    def _key_servers(self) -> np.ndarray:
+        servers = self._owners[self._workload.slots]
+        for key_hash, owner in self._key_owners.items():
+            servers[self._index[key_hash]] = owner
+        return servers
+
+    def _serve(self, now: float) -> None:
+        capacity = len(self._servers) * self._deployment.slots / WORK_SECONDS
+        count = int(self._generator.poisson(capacity * self._scenario.utilization))
+        keys = self._workload.draw(count)
+        arrivals = now + np.sort(self._generator.random(count))
+        work = self._generator.exponential(WORK_SECONDS, count)
+        entries = self._generator.integers(0, ENTRY_COUNT, count)
+        ready = np.maximum(arrivals, self._ready[keys])
+        owners = self._key_servers()[keys]
+        self._latencies.extend(serve_second(self._servers, owners, arrivals, ready, work))
+        pairs, counts = np.unique(entries * len(self._ready) + keys, return_counts=True)
+        for pair, n in zip(pairs.tolist(), counts.tolist(), strict=True):
+            entry, key = divmod(pair, len(self._ready))
+            self._meters[entry].record(
+                slot=int(self._workload.slots[key]),
+                key_hash=self._workload.hashes[key],
+                work=n * WORK_SECONDS,
+            )
+
+    def _observe(self, now: float) -> None:
+        servers = self._key_servers()
+        loads = np.bincount(servers, self._workload.shares, len(self._servers))
+        up = np.array([server.up for server in self._servers])
+        self._imbalances.append(float(loads[up].max() / loads.mean()))
+        self._unavailable += float((~up[servers]).sum())
+
+    def _decide(self, now: float, first: bool = False) -> None:
+        report = merge_load_reports(meter.report() for meter in self._meters)
+        if not self._table_up:
+            return
+        moves = self._plan(self._view(report, now))
+        if not moves:
+            return
+        self._last_move = now
+        for move in moves:
+            self._apply(move, now, first)
+        if not first:
+            self._writes += 1
+
+    def _view(self, report: LoadReport, now: float) -> PlanningView:
+        slot_load = np.zeros(SLOT_COUNT)
+        slot_load[list(report.slots)] = list(report.slots.values())
+        for key_hash in self._key_owners:
+            slot = self._workload.slots[self._index[key_hash]]
+            slot_load[slot] = max(0.0, slot_load[slot] - report.keys.get(key_hash, 0.0))
+        return PlanningView(
+            objective=self._deployment.objective,
+            servers=[self._condition(i, now) for i in range(len(self._servers))],
+            owners=self._owners.tolist(),
+            slot_load=slot_load.tolist(),
+            key_owners=dict(self._key_owners),
+            key_load=report.keys,
+            since_last_move=timedelta(seconds=now - self._last_move),
+        )
+
+    def _condition(self, i: int, now: float) -> ServerCondition:
+        server = self._servers[i]
+        gone = not server.up and now >= server.down_since + DETECTION_SECONDS
+        warm_after = max(0.0, server.cold_until - now)
+        return ServerCondition(
+            name=f"server-{i}",
+            takes_keys=not gone and not server.leaving,
+            alive=not gone,
+            warm_after=timedelta(seconds=min(warm_after, COLD_SECONDS)),
+        )
+
+    def _apply(self, move: Move, now: float, first: bool) -> None:
+        before = self._key_servers()
+        if move.key_hash is None:
+            self._owners[move.slot] = move.destination
+        elif move.destination == -1:
+            self._key_owners.pop(move.key_hash)
+        else:
+            self._key_owners[move.key_hash] = move.destination
+        if first:
+            return
+        moved = np.flatnonzero(self._key_servers() != before)
+        self._moves += 1
+        self._churn_keys += len(moved) / len(before)
+        self._churn_load += float(self._workload.shares[moved].sum())
+        alive = np.array([server.up for server in self._servers])[before[moved]]
+        self._ready[moved] = now + PAUSE_SECONDS
+        self._unavailable += PAUSE_SECONDS * int(alive.sum())
+
+    def _figures(self) -> KeyedFigures:
+        return KeyedFigures(
+            imbalance=float(np.mean(self._imbalances)),
+            churn_keys=self._churn_keys,
+            churn_load=self._churn_load,
+            unavailable_key_seconds=self._unavailable,
+            goodput=len(self._latencies) / self._scenario.seconds,
+            p50_ms=latency_milliseconds(self._latencies, 50.0),
+            p99_ms=latency_milliseconds(self._latencies, 99.0),
+            moves=self._moves,
+            table_writes=self._writes,
+        )
--- /dev/null
+++ b/laburnumhatch/measures/keyed_workload.py
@@ -0,0 +1,56 @@
+"""Skewed requests for keys."""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from ..routing.slots import hash_key, slot_of_hash
+
+__all__ = ["KeyedWorkload", "make_keyed_workload"]
+
+KEY_COUNT = 20_000
+SLOT_COUNT = 1024
+SKEW_EXPONENT = 0.9
+HOTTEST_KEYS = 29
+
+
+@dataclass
+class KeyedWorkload:
+    """Keys and how often each is asked for.
+
+    Attributes
+    ----------
+    hashes : list of int
+        Hash of each key.
+    slots : numpy.ndarray of int
+        Slot of each key.
+    shares : numpy.ndarray of float
+        Share of the requests that ask for each key.
+    """
+
+    generator: np.random.Generator
+    hashes: list[int]
+    slots: np.ndarray
+    shares: np.ndarray
+
+    def draw(self, count: int) -> np.ndarray:
+        """Return the indices of the keys that `count` requests ask for."""
+        bounds = np.cumsum(self.shares)
+        drawn = self.generator.random(count) * bounds[-1]
+        return np.searchsorted(bounds, drawn, side="right")
+
+    def change_hottest_keys(self) -> None:
+        """Exchange the hottest keys' shares with those of random other keys."""
+        hottest = np.argsort(self.shares)[-HOTTEST_KEYS:]
+        others = np.setdiff1d(np.arange(len(self.shares)), hottest)
+        chosen = self.generator.choice(others, HOTTEST_KEYS, replace=False)
+        self.shares[hottest], self.shares[chosen] = self.shares[chosen], self.shares[hottest]
+
+
+def make_keyed_workload(generator: np.random.Generator) -> KeyedWorkload:
+    """Return a workload whose shares fall with a power of the key's rank, as Zipf's law says."""
+    hashes = [hash_key("measure", f"key-{i}") for i in range(KEY_COUNT)]
+    slots = np.array([slot_of_hash(key_hash, SLOT_COUNT) for key_hash in hashes])
+    ranks = generator.permutation(KEY_COUNT) + 1.0
+    shares = ranks**-SKEW_EXPONENT
+    return KeyedWorkload(generator, hashes, slots, shares / shares.sum())
