--- a/laburnumhatch/ownership/tests/test_rules.py
+++ b/laburnumhatch/ownership/tests/test_rules.py
@@ -8,7 +8,15 @@
 from ..effects import MessageArrived
 from ..messages import Handover
 from ..rules import Rules
-from .protocol_world import NAMES, SERVERS, STEP, OwnersOverlap, settled_world, with_rules_off
+from .protocol_world import (
+    NAMES,
+    SERVERS,
+    STEP,
+    TIMING,
+    OwnersOverlap,
+    settled_world,
+    with_rules_off,
+)
 
 LONG = timedelta(seconds=4)
 
@@ -79,13 +87,17 @@
 def standby_takes_over_after_its_promise(world):
     """The standby becomes coordinator just after its consent, and its notice is lost."""
     coordinator, standby, *_ = _roles(world)
+    node = world.nodes[standby]
     world.nodes[coordinator].table_cut = True
-    world.nodes[standby].table_cut = True
-    world.run(LONG)
-    while world.nodes[standby].state.candidate.consented < world.now:
+    while node.state.candidate.reached is None:
+        world.run(STEP)
+    world.run(milliseconds(1000))
+    node.hold_reads = 1
+    while not world.held_replies:
         world.run(STEP)
     world.split({coordinator}, table=False)
-    _run_until_coordinator(world, {standby})
+    world.deliver_held_reply()
+    assert world.coordinator() == standby
     _move_lost_slot(world)
     world.run(LONG)
 
@@ -165,3 +177,23 @@
     world = settled_world(rules=with_rules_off(*left_out))
     with pytest.raises(OwnersOverlap):
         scenario(world)
+
+
+@pytest.mark.parametrize("standby_is_new", [False, True])
+def test_stranger_need_not_wait_for_the_cap(standby_is_new):
+    """A former standby, or its new process, rules out a longer hold; the debt is then settled."""
+    world = settled_world(rules=Rules())
+    coordinator, standby, third, fourth = _roles(world)
+    world.nodes[standby].table_cut = True
+    if standby_is_new:
+        world.start_node(standby)
+        world.nodes[standby].table_cut = True
+    world.nodes[coordinator].paused = True
+    _run_until_coordinator(world, {third, fourth})
+    assert world.row.debt >= TIMING.hold_cap
+    _move_lost_slot(world)
+    moved_to = world.row.servers[world.row.owners[0]]
+    world.run(timedelta(seconds=3))
+    assert world.routed_by(third, 0) == world.routed_by(fourth, 0) == moved_to
+    world.run(LONG)
+    assert not world.row.debt
