--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -7,7 +7,7 @@
 from aioprometheus import Registry
 from twisted.internet.defer import Deferred
 
-from ..balancing import TwoChoices
+from ..balancing import LatencyClassChooser
 from ..clocks import Clock
 from ..configuration import ConfigurationFollower
 from ..links import PeerLinks
@@ -20,6 +20,7 @@
 from ..routing.match import Matcher
 from ..settings import InstanceSettings, ListenAddress
 from .admin import AdminPages, build_admin_site
+from .first_leases import FirstLeases
 from .lifecycle import LifecycleActions, build_lifecycle
 from .messages import build_codec
 
@@ -84,7 +85,7 @@
             reasons.append(f"the instance is {state}")
         if self._configuration.snapshot is None:
             reasons.append(f"no configuration: {self._configuration.problem}")
-        return reasons
+        return reasons + self._first_leases.unready_reasons()
 
     def status(self) -> dict[str, Any]:
         """Return the state of the instance, for the operators."""
@@ -180,8 +181,10 @@
             self._targets,
             plan_moves,
         )
-        chooser = TwoChoices(
+        chooser = LatencyClassChooser(
+            clock=self._clock,
             targets=self._targets,
+            instance=settings.name,
             data_centre=settings.data_centre,
             live_instances=self._live_count,
             random_source=random.Random(),
@@ -197,7 +200,9 @@
             self._table,
             entry_count=self._live_count,
             registry=self._registry,
+            work_done=self._ownership.note_work,
         )
+        self._first_leases = FirstLeases(self._clock, self._ownership.unleased_services)
 
     def _live_count(self) -> int:
         return len(self._instances.live())
@@ -219,6 +224,7 @@
     def _use_snapshot(self, snapshot: Snapshot) -> None:
         self._targets.follow(snapshot)
         self._ownership.use_snapshot(snapshot)
+        self._first_leases.configured()
         self._matcher = build_matcher(snapshot)
 
     def _become_unready(self) -> None:
--- a/laburnumhatch/ownership/timing.py
+++ b/laburnumhatch/ownership/timing.py
@@ -18,6 +18,8 @@
         How long a coordinator may grant after it sent a renewal that succeeded.
     renew_interval : timedelta
         Time between two renewals.
+    grant_interval : timedelta
+        Time between two renewals of a server's grants.
     lease : timedelta
         Longest routing lease.
     pull_interval : timedelta
@@ -33,7 +35,7 @@
     retry : timedelta
         Time before an unsettled call is repeated.
     isolation : timedelta
-        How long a standby that reaches the table consents before it takes over itself.
+        How long a coordinator may fail to reach the table before a standby that does takes over.
     server_call : timedelta
         Longest time until a server has received a call, or never will.
     settle_delay : timedelta
@@ -44,6 +46,7 @@
 
     authority: timedelta = milliseconds(1500)
     renew_interval: timedelta = milliseconds(400)
+    grant_interval: timedelta = milliseconds(600)
     lease: timedelta = milliseconds(1200)
     pull_interval: timedelta = milliseconds(300)
     promise: timedelta = milliseconds(2000)
