End grants to servers at an instant of the server's own clock

Cause: a grant's duration counted from its receipt. A server that was frozen finds grants and requests of before in its sockets when it returns, takes the old grant as fresh, and runs requests under an older epoch beside the new owner. The bound "received within the call's timeout or never" does not hold for a frozen server. Ruled out: aborting the connection at the timeout, since bytes that have arrived stay readable; wall-clock instants, since clocks of different machines aren't compared. Change: a server's answer to /grants tells its clock; later grants end at an instant of that clock, worked out from a reading that was taken before it was received, so that a late arrival can't lengthen them. Another process behind the same address has another clock, says so, and the grant is made again for it. Servers that tell no clock get durations as before. The late-arrival test fails without the change.

--- a/laburnumhatch/ownership/grants.py
+++ b/laburnumhatch/ownership/grants.py
@@ -15,6 +15,7 @@
 
 from ..clocks import Clock, milliseconds, to_milliseconds
 from ..routing import Target
+from .server_clock import ServerClock, grant_end
 
 __all__ = ["GrantAnswer", "GrantSender", "GrantSet", "SlotRange", "encode_grants", "slot_ranges"]
 
@@ -101,6 +102,8 @@
 
     def __init__(self, reactor: Any, clock: Clock) -> None:
         self._clock = clock
+        # None for a server that was asked and tells no clock.
+        self._clocks: dict[Target, ServerClock | None] = {}
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = 1
         self._pool.retryAutomatically = False
@@ -109,39 +112,101 @@
         )
 
     async def send(self, service: str, target: Target, grants: GrantSet) -> GrantAnswer:
-        """Tell a server of its grants; the answer says what is known afterwards."""
-        call = Deferred.fromCoroutine(self._post(target, encode_grants(service, grants)))
+        """Tell a server of its grants; the answer says what is known afterwards.
+
+        Notes
+        -----
+        A server that tells its clock gets grants that end at an instant of that clock, counted
+        from the call of this method. A clock that isn't known yet is asked for first.
+        """
+        started = self._clock.now()
+        call = Deferred.fromCoroutine(self._tell(service, target, grants, started))
         timeout = self._clock.call_later(CALL_TIMEOUT, call.cancel)
         try:
-            status = await call
+            return await call
         except ConnectionRefusedError:
+            self._clocks.pop(target, None)
             return GrantAnswer.GONE
         except (CancelledError, Exception):
             return GrantAnswer.UNKNOWN
         finally:
             if timeout.active():
                 timeout.cancel()
-        return {OK: GrantAnswer.ACCEPTED, CONFLICT: GrantAnswer.FENCED}.get(
-            status, GrantAnswer.UNKNOWN
-        )
 
-    async def _post(self, target: Target, body: bytes) -> int:
+    async def _tell(
+        self, service: str, target: Target, grants: GrantSet, started: timedelta
+    ) -> GrantAnswer:
+        if target not in self._clocks:
+            await self._post(target, encode_grants(service, GrantSet()))
+        answer = await self._post(target, self._encode(service, target, grants, started))
+        if answer.clock_differs:
+            # Another process has taken the server's place; the answer told its clock.
+            answer = await self._post(target, self._encode(service, target, grants, started))
+        if answer.status == CONFLICT and not answer.clock_differs:
+            return GrantAnswer.FENCED
+        return GrantAnswer.ACCEPTED if answer.status == OK else GrantAnswer.UNKNOWN
+
+    def _encode(self, service: str, target: Target, grants: GrantSet, started: timedelta) -> bytes:
+        clock = self._clocks.get(target)
+        if clock is None or grants.valid is None:
+            return encode_grants(service, grants)
+        return encode_grants(service, grants, clock, grant_end(clock, started, grants.valid))
+
+    async def _post(self, target: Target, body: bytes) -> "_ServerAnswer":
         response = await treq.post(
             f"http://{target.host}:{target.port}/grants",
             data=body,
             headers=Headers({"content-type": ["application/json"]}),
             agent=self._agent,
         )
-        await response.content()
-        status: int = response.code
-        return status
+        content = await response.content()
+        received = self._clock.now()
+        answer = _decode_answer(response.code, content)
+        self._clocks[target] = None
+        if answer.clock is not None:
+            self._clocks[target] = ServerClock(answer.clock, answer.clock_ms, received)
+        return answer
+
 
+@dataclass(frozen=True, slots=True)
+class _ServerAnswer:
+    status: int
+    clock: str | None
+    clock_ms: int
+    clock_differs: bool
+
+
+def _decode_answer(status: int, content: bytes) -> _ServerAnswer:
+    try:
+        document = json.loads(content)
+    except ValueError:
+        document = None
+    fields = document if isinstance(document, dict) else {}
+    clock, clock_ms = fields.get("clock"), fields.get("clock_ms")
+    if not isinstance(clock, str) or not isinstance(clock_ms, int):
+        return _ServerAnswer(status, None, 0, False)
+    return _ServerAnswer(status, clock, clock_ms, fields.get("clock_differs") is True)
+
+
+def encode_grants(
+    service: str, grants: GrantSet, clock: ServerClock | None = None, until_ms: int | None = None
+) -> bytes:
+    """Return the body of ``POST /grants``.
 
-def encode_grants(service: str, grants: GrantSet) -> bytes:
-    """Return the body of ``POST /grants``."""
+    Parameters
+    ----------
+    service : str
+    grants : GrantSet
+    clock : ServerClock, optional
+        The server's clock, where it is known.
+    until_ms : int, optional
+        Instant of that clock at which the grants end, whenever they arrive.
+    """
     valid = None if grants.valid is None else max(0, to_milliseconds(grants.valid))
     document = {
         "service": service,
+        "clock": None if clock is None else clock.name,
+        "until_ms": until_ms,
         "grants": [_range(r) | {"valid_ms": valid} for r in grants.granted],
         "keys": [_key(*key) | {"valid_ms": valid} for key in grants.granted_keys],
         "revoked": [_range(r) for r in grants.revoked],
--- /dev/null
+++ b/laburnumhatch/ownership/server_clock.py
@@ -0,0 +1,53 @@
+"""Expiry of grants in a server's own time."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..clocks import to_milliseconds
+
+__all__ = ["ServerClock", "grant_end"]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerClock:
+    """A reading of a server's monotonic clock.
+
+    Attributes
+    ----------
+    name : str
+        Identifies the clock; another process of the server has another.
+    reading_ms : int
+        Milliseconds since the clock's origin.
+    received : timedelta
+        Instant of this instance's clock at which the reading came, later than it was taken.
+    """
+
+    name: str
+    reading_ms: int
+    received: timedelta
+
+
+def grant_end(clock: ServerClock, sent: timedelta, valid: timedelta) -> int:
+    """Return the instant of a server's clock, in milliseconds, at which a grant ends.
+
+    Parameters
+    ----------
+    clock : ServerClock
+    sent : timedelta
+        Instant of this instance's clock from which `valid` counts.
+    valid : timedelta
+
+    Notes
+    -----
+    The reading was taken before it was received, so the server's clock reaches the returned
+    instant no later than this instance's reaches ``sent + valid``, however late the grant itself
+    arrives. A duration that counts from the receipt gives no such bound: a server that was frozen
+    takes a grant from its socket's buffer after it returns.
+
+    Examples
+    --------
+    >>> clock = ServerClock("c", 5000, timedelta(seconds=1))
+    >>> grant_end(clock, timedelta(seconds=3), timedelta(seconds=2))
+    9000
+    """
+    return clock.reading_ms + to_milliseconds(sent - clock.received + valid)
--- /dev/null
+++ b/laburnumhatch/ownership/tests/test_server_clock.py
@@ -0,0 +1,59 @@
+"""Tests of expiry in a server's own time."""
+
+from datetime import timedelta
+
+import pytest_twisted
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet import reactor
+from twisted.web.server import Site
+
+from ...clocks import ReactorClock, boot_seconds
+from ...routing import Target
+from ...standins import UpstreamOptions, UpstreamStandin, build_upstream_app, second_segment
+from ..grants import GrantAnswer, GrantSender, GrantSet, SlotRange
+from ..server_clock import ServerClock, grant_end
+
+SECOND = timedelta(seconds=1)
+DELAY = st.integers(0, 10_000)
+GRANT = GrantSet(granted=(SlotRange(0, 3, 1),), valid=2 * SECOND)
+
+
+@given(st.integers(-(10**6), 10**6), DELAY, DELAY, DELAY, st.integers(0, 5_000))
+def test_server_stops_in_time_however_late_the_grant_arrives(offset, taken, reply, wait, valid):
+    # True time in milliseconds; the server's clock is `offset` ahead of it.
+    received = taken + reply
+    sent = received + wait
+    clock = ServerClock("c", taken + offset, timedelta(milliseconds=received))
+    end = grant_end(clock, timedelta(milliseconds=sent), timedelta(milliseconds=valid))
+    assert end - offset <= sent + valid
+
+
+def _standin(clock):
+    options = UpstreamOptions("lofts", "a", 1, True, 1, 0 * SECOND, 0 * SECOND, True)
+    return UpstreamStandin(options, clock, second_segment)
+
+
+def _listen(standin, port=0):
+    site = Site(build_upstream_app(standin).resource())
+    return reactor.listenTCP(port, site, interface="127.0.0.1")
+
+
+@pytest_twisted.ensureDeferred
+async def test_grant_ends_by_the_clock_of_the_process_that_took_it():
+    clock = ReactorClock(reactor, boot_seconds)
+    first, second = _standin(clock), _standin(clock)
+    sender = GrantSender(reactor, clock)
+    port = _listen(first)
+    target = Target("a", "127.0.0.1", port.getHost().port, "lade")
+    try:
+        assert await sender.send("lofts", target, GRANT) is GrantAnswer.ACCEPTED
+        held = first.grants._held[0].expires
+        assert held <= clock.now() + GRANT.valid
+        # Another process takes the server's place, behind the same address.
+        first.clock_name = second.clock_name
+        assert await sender.send("lofts", target, GRANT) is GrantAnswer.ACCEPTED
+        assert sender._clocks[target].name == second.clock_name
+    finally:
+        await sender._pool.closeCachedConnections()
+        await port.stopListening()
--- a/laburnumhatch/standins/grants.py
+++ b/laburnumhatch/standins/grants.py
@@ -42,9 +42,19 @@
 
 
 class GrantMessage(CheckedModel):
-    """Body of ``POST /grants``."""
+    """Body of ``POST /grants``.
+
+    Attributes
+    ----------
+    clock : str or None
+        The server's clock that `until_ms` is an instant of.
+    until_ms : int or None
+        Latest instant at which the grants end, whenever they arrive.
+    """
 
     service: str
+    clock: str | None = None
+    until_ms: int | None = None
     grants: tuple[SlotGrant, ...] = ()
     keys: tuple[KeyGrant, ...] = ()
     revoked: tuple[SlotRange, ...] = ()
@@ -92,7 +102,7 @@
         if refused:
             return max(refused)
         for place, epoch, valid_ms in granted:
-            self._grant(place, epoch, valid_ms)
+            self._grant(place, epoch, valid_ms, message.until_ms)
         return None
 
     def refusal(self, slot: int, key_hash: str | None, epoch: int) -> int | None:
@@ -113,9 +123,11 @@
             return self.lowest_accepted.get(place, 0)
         return None
 
-    def _grant(self, place: Place, epoch: int, valid_ms: int | None) -> None:
+    def _grant(self, place: Place, epoch: int, valid_ms: int | None, until_ms: int | None) -> None:
         expires = None
-        if valid_ms is not None and self.honours_expiry:
+        if until_ms is not None and self.honours_expiry:
+            expires = milliseconds(until_ms)
+        elif valid_ms is not None and self.honours_expiry:
             expires = self.clock.now() + milliseconds(valid_ms)
         self.lowest_accepted[place] = epoch
         self._held[place] = _Held(epoch, expires)
--- a/laburnumhatch/standins/tests/test_grants.py
+++ b/laburnumhatch/standins/tests/test_grants.py
@@ -53,6 +53,15 @@
     assert book.refusal(0, None, 1) == expected
 
 
+@pytest.mark.parametrize(("until_ms", "expected"), [(3000, None), (2000, 1), (None, None)])
+def test_grant_that_arrives_late_ends_by_the_servers_own_clock(clock, until_ms, expected):
+    book = GrantBook(clock)
+    clock.advance(timedelta(seconds=2))
+    late = _grant(1, valid_ms=1000).model_copy(update={"until_ms": until_ms})
+    book.apply(late)
+    assert book.refusal(0, None, 1) == expected
+
+
 def test_key_grant_goes_before_the_slot(clock):
     book = GrantBook(clock)
     book.apply(_grant(1))
--- a/laburnumhatch/standins/tests/test_upstream.py
+++ b/laburnumhatch/standins/tests/test_upstream.py
@@ -190,4 +190,5 @@
     assert (calls.status("a"), calls.status("waits")) == ((409, "not run"), (409, "not run"))
     assert calls.answers["waits"][1].getRawHeaders("fencing-token") == ["3"]
     status, _, body = upstream_stub.ask("POST", "/grants", data=json.dumps(grant).encode())
-    assert (status, json.loads(body)) == (409, {"accepted": False, "epoch": 3})
+    refused = {"accepted": False, "epoch": 3, **upstream.clock_reading()}
+    assert (status, json.loads(body)) == (409, refused)
--- a/laburnumhatch/standins/upstream.py
+++ b/laburnumhatch/standins/upstream.py
@@ -1,6 +1,7 @@
 """State of an upstream stand-in, and the path of one request through it."""
 
 import hashlib
+import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -88,6 +89,7 @@
 
     def __post_init__(self) -> None:
         self.started = self.clock.now()
+        self.clock_name = secrets.token_hex(8)
         self.queue = WorkQueue(self.options.slots, self.options.queue_limit)
         self.grants = GrantBook(self.clock, self.options.honours_expiry)
         self.log = RunLog(self.clock, self.options.journal)
@@ -109,6 +111,10 @@
             return "starting"
         return "ready"
 
+    def clock_reading(self) -> dict[str, object]:
+        """Return the server's clock, for grants that end at an instant of it."""
+        return {"clock": self.clock_name, "clock_ms": to_milliseconds(self.clock.now())}
+
     def replace_faults(self, faults: UpstreamFaults) -> None:
         """Put other faults into force; what a freeze held up goes on."""
         self.faults = faults
--- a/laburnumhatch/standins/upstream_app.py
+++ b/laburnumhatch/standins/upstream_app.py
@@ -52,10 +52,14 @@
             message = read_model(request, GrantMessage)
         except BadBody as e:
             return answer_json(request, BAD_REQUEST, {"error": str(e)})
+        clock = upstream.clock_reading()
+        if message.clock is not None and message.clock != upstream.clock_name:
+            document = {"accepted": False, "clock_differs": True, **clock}
+            return answer_json(request, CONFLICT, document)
         newer = upstream.grants.apply(message) if upstream.options.checks_fencing else None
         if newer is not None:
-            return answer_json(request, CONFLICT, {"accepted": False, "epoch": newer})
-        return answer_json(request, OK, {"accepted": True})
+            return answer_json(request, CONFLICT, {"accepted": False, "epoch": newer, **clock})
+        return answer_json(request, OK, {"accepted": True, **clock})
 
 
 def _add_readings(app: Any, upstream: UpstreamStandin) -> None:
