Measure requests, decisions and control against their bounds

Cause: nothing said what an entry costs over a bare proxy, nor what control costs at the design size. Change: 'laburnumhatch bench' sends the same requests in turn through a bare Agent and Resource and through an entry daemon with everything on, and times choices and plans; 'laburnumhatch bench idle' measures the daemons without requests; 'make capacity' prints all slopes.

--- a/Makefile
+++ b/Makefile
@@ -36,5 +36,14 @@
 measure: $(READY)
 	$(VENV)/bin/laburnumhatch measure all --figures docs/figures
 
+bench: $(READY)
+	$(VENV)/bin/laburnumhatch bench
+
+capacity: $(READY)
+	$(PY) -m laburnumhatch.ownership.slopes
+	$(PY) -m laburnumhatch.measures.control_costs
+	$(PY) -m laburnumhatch.measures.load_costs
+	$(VENV)/bin/laburnumhatch bench idle
+
 clean:
 	rm -rf $(VENV)
--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -8,6 +8,7 @@
 
 # Each command is the function of its name in the module that is named here.
 COMMANDS = {
+    "bench": "..measures.bench_command",
     "check": ".check",
     "diff": ".diff",
     "entry": ".entry",
--- /dev/null
+++ b/laburnumhatch/measures/bare_proxy.py
@@ -0,0 +1,78 @@
+"""A pass-through proxy of nothing but the library calls that the entry daemon builds on."""
+
+import json
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+__all__ = ["BareProxy", "run_bare_proxy"]
+
+CONNECTIONS_PER_HOST = 64
+
+
+class BareProxy(Resource):
+    """Resource that passes requests to one upstream and streams the answers back."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, agent: Any, upstream: str) -> None:
+        super().__init__()
+        self._agent = agent
+        self._upstream = upstream.encode()
+
+    def render(self, request: Request) -> int:
+        """Send the request on."""
+        sent = self._agent.request(
+            request.method, self._upstream + request.uri, request.requestHeaders
+        )
+        sent.addCallbacks(_answer, _fail, callbackArgs=(request,), errbackArgs=(request,))
+        return NOT_DONE_YET
+
+
+class _Relay(Protocol):
+    """Passes an answer's body to the caller, no faster than the caller reads."""
+
+    def __init__(self, request: Any) -> None:
+        self._request = request
+
+    def connectionMade(self) -> None:
+        self._request.registerProducer(self.transport, True)
+
+    def dataReceived(self, data: bytes) -> None:
+        self._request.write(data)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self._request.unregisterProducer()
+        self._request.finish()
+
+
+def _answer(response: Any, request: Any) -> None:
+    request.setResponseCode(response.code)
+    for name, values in response.headers.getAllRawHeaders():
+        request.responseHeaders.setRawHeaders(name, values)
+    if isinstance(response.length, int):
+        request.setHeader(b"content-length", b"%d" % response.length)
+    response.deliverBody(_Relay(request))
+
+
+def _fail(failure: Failure, request: Any) -> None:
+    request.setResponseCode(502)
+    request.finish()
+
+
+def run_bare_proxy(upstream: str, host: str) -> None:
+    """Serve until the process is told to end; prints its port as the daemons do."""
+    reactor: Any = _reactor
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = CONNECTIONS_PER_HOST
+    site = Site(BareProxy(Agent(reactor, pool=pool), upstream))
+    port = reactor.listenTCP(0, site, interface=host)
+    print(json.dumps({"listening": {"http": port.getHost().port}}), flush=True)
+    reactor.run()
--- /dev/null
+++ b/laburnumhatch/measures/load_costs.py
@@ -0,0 +1,88 @@
+"""What measured load costs: bytes of a report, and memory of meters and choosers.
+
+Run with ``python -m laburnumhatch.measures.load_costs``.
+"""
+
+import json
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+import numpy as np
+from twisted.internet import task
+
+from ..clocks import ReactorClock
+from ..entry.messages import build_codec
+from ..ownership.messages import KeyLoad, SlotLoad
+from ..ownership.messages import LoadReport as LoadMessage
+from ..planning import LoadMeter
+
+__all__ = ["LoadCost", "main", "measure_load"]
+
+SLOT_COUNTS = (1_024, 16_384, 262_144)
+REQUESTS = 5_000
+WORK_SECONDS = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class LoadCost:
+    """Cost of one group's load at one instance.
+
+    Attributes
+    ----------
+    slots : int
+    busy_slots : int
+        Slots that the requests of one second fell into.
+    report_bytes : int
+        Encoded message.
+    meter_bytes : int
+        Memory of the meter.
+    """
+
+    slots: int
+    busy_slots: int
+    report_bytes: int
+    meter_bytes: int
+
+
+def measure_load(slots: int) -> LoadCost:
+    """Return the cost after a second of requests for keys that all differ."""
+    reactor = task.Clock()
+    meters: list[LoadMeter] = []
+    used = _allocated(lambda: meters.append(_used_meter(ReactorClock(reactor), reactor, slots)))
+    report = meters[0].report()
+    message = LoadMessage(
+        "measured",
+        0,
+        "entry-1/0a1b2c3d",
+        tuple(SlotLoad(slot, load) for slot, load in report.slots.items()),
+        tuple(KeyLoad(key_hash, load) for key_hash, load in report.keys.items()),
+    )
+    encoded = build_codec().encode(message)
+    return LoadCost(slots, len(report.slots), len(encoded), used)
+
+
+def _used_meter(clock: ReactorClock, reactor: task.Clock, slots: int) -> LoadMeter:
+    meter = LoadMeter(clock=clock, slot_count=slots)
+    for key_hash in np.random.default_rng(1).integers(0, 2**63, REQUESTS).tolist():
+        meter.record(slot=key_hash % slots, key_hash=key_hash, work=WORK_SECONDS)
+    reactor.advance(1.0)
+    return meter
+
+
+def _allocated(call: Callable[[], object]) -> int:
+    tracemalloc.start()
+    call()
+    current, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return current
+
+
+def main() -> None:
+    """Print the costs at some numbers of slots."""
+    for slots in SLOT_COUNTS:
+        print(json.dumps(asdict(measure_load(slots))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/laburnumhatch/measures/request_cost.py
@@ -0,0 +1,160 @@
+"""Processor time of a request: the entry daemon against a bare proxy, in one run and in turn."""
+
+import re
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from ..clocks import Clock, ReactorClock, boot_seconds
+from ..routing import RoutingFile
+from ..standins.caller import Answer, Caller
+from ..standins.deployment import Deployment, start_deployment
+from ..standins.processes import Child, ProcessGroup
+from .process_usage import processor_seconds
+
+__all__ = ["RequestCost", "measure_request_cost"]
+
+HOST = "127.0.0.1"
+KEYLESS = "ceremony-media-archive"
+KEYED = "loft-availability"
+CALLERS = 8
+KEYS = 200
+WARM_UP_REQUESTS = 500
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCost:
+    """Cost of one request through one process.
+
+    Attributes
+    ----------
+    name : str
+    requests : int
+    failures : int
+    microseconds : tuple of float
+        Processor time of a request, for each turn.
+    rate : float
+        Requests a second while it was measured, callers and stand-ins on the same machine.
+    """
+
+    name: str
+    requests: int
+    failures: int
+    microseconds: tuple[float, ...]
+    rate: float
+
+    @property
+    def median(self) -> float:
+        """Median over the turns, microseconds."""
+        return sorted(self.microseconds)[len(self.microseconds) // 2]
+
+
+@dataclass(frozen=True, slots=True)
+class _Subject:
+    """A process and the requests that it gets."""
+
+    name: str
+    child: Child
+    base: str
+    path: str
+
+
+async def measure_request_cost(
+    reactor: Any, example: Path, requests: int, turns: int
+) -> list[RequestCost]:
+    """Return the cost of a request through a bare proxy and through an entry instance.
+
+    Parameters
+    ----------
+    reactor
+        A Twisted reactor.
+    example : Path
+        Directory of the deployment at Duefjaer's size.
+    requests : int
+        Requests of one turn.
+    turns : int
+        Turns of each subject, one after the other.
+    """
+    clock = ReactorClock(reactor, boot_seconds)
+    caller = Caller(reactor, clock)
+    with tempfile.TemporaryDirectory() as directory:
+        with ProcessGroup(clock, Path(directory)) as processes:
+            deployment = await start_deployment(
+                processes,
+                caller,
+                example,
+                ("entry-1",),
+                services=frozenset((KEYLESS, KEYED)),
+                work_ms=0.0,
+            )
+            await deployment.publish()
+            await deployment.entries_ready()
+            subjects = await _subjects(deployment)
+            costs = await _take_turns(clock, caller, subjects, requests, turns)
+        await caller.close()
+    return costs
+
+
+async def _subjects(deployment: Deployment) -> list[_Subject]:
+    keyless, keyed = deployment.services[KEYLESS], deployment.services[KEYED]
+    entry = deployment.entries["entry-1"]
+    base = deployment.entry_url("entry-1")
+    target = keyless.targets.servers[0]
+    proxy = deployment.processes.launch(
+        "proxy", "bench", "proxy", f"http://{target.host}:{target.port}"
+    )
+    ports = await deployment.processes.listening(proxy)
+    return [
+        _Subject("bare proxy", proxy, f"http://{HOST}:{ports['http']}", _get_path(keyless)),
+        _Subject("entry, no key", entry, base, _get_path(keyless)),
+        _Subject("entry, owned key", entry, base, _get_path(keyed)),
+    ]
+
+
+def _get_path(file: RoutingFile) -> str:
+    return next(kind.path for kind in file.kinds.values() if kind.method == "GET")
+
+
+async def _take_turns(
+    clock: Clock, caller: Caller, subjects: Sequence[_Subject], requests: int, turns: int
+) -> list[RequestCost]:
+    seen: dict[str, list[tuple[float, float, int]]] = {subject.name: [] for subject in subjects}
+    for subject in subjects:
+        await _send_all(caller, subject, WARM_UP_REQUESTS)
+    for _ in range(turns):
+        for subject in subjects:
+            started, before = clock.now(), processor_seconds(subject.child)
+            failures = await _send_all(caller, subject, requests)
+            used = processor_seconds(subject.child) - before
+            seen[subject.name].append((used, (clock.now() - started).total_seconds(), failures))
+    return [
+        RequestCost(
+            name=name,
+            requests=requests * turns,
+            failures=sum(failures for _, _, failures in rows),
+            microseconds=tuple(used / requests * 1e6 for used, _, _ in rows),
+            rate=requests * turns / sum(seconds for _, seconds, _ in rows),
+        )
+        for name, rows in seen.items()
+    ]
+
+
+async def _send_all(caller: Caller, subject: _Subject, count: int) -> int:
+    """Send requests from some callers at a time; return how many got no good answer."""
+    numbers = iter(range(count))
+    failures = 0
+
+    async def send_some() -> None:
+        nonlocal failures
+        for number in numbers:
+            path = re.sub(r"\{[^}]*\}", str(number % KEYS), subject.path)
+            answer = await caller.send("GET", subject.base + path)
+            failures += not isinstance(answer, Answer) or answer.status != OK
+
+    await gatherResults([Deferred.fromCoroutine(send_some()) for _ in range(CALLERS)])
+    return failures
--- a/laburnumhatch/planning/evacuation.py
+++ b/laburnumhatch/planning/evacuation.py
@@ -34,19 +34,18 @@
     .. [1] R. L. Graham, Bounds on multiprocessing timing anomalies, 1969.
     """
     takers = [i for i, server in enumerate(view.servers) if server.takes_keys]
-    if not takers:
+    stranded = [i for i, owner in enumerate(view.owners) if _stranded(view, owner)]
+    moves = [
+        Move(view.slot_of_key(key_hash), key_hash, owner, -1, _reason(view, owner))
+        for key_hash, owner in sorted(view.key_owners.items())
+        if _stranded(view, owner)
+    ]
+    if not takers or not (stranded or moves):
         return ()
     weights = idle_adjusted_load(view.slot_load)
     load = server_load(view, weights)
     queue = [(view.servers[i].warm_after, load[i], i) for i in takers]
     heapq.heapify(queue)
-    moves = []
-    for key_hash, owner in sorted(view.key_owners.items()):
-        if _stranded(view, owner):
-            moves.append(
-                Move(view.slot_of_key(key_hash), key_hash, owner, -1, _reason(view, owner))
-            )
-    stranded = [i for i, owner in enumerate(view.owners) if _stranded(view, owner)]
     for i in sorted(stranded, key=lambda i: (-weights[i], i)):
         warm_after, busy, taker = heapq.heappop(queue)
         owner = view.owners[i]
