--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(PY) -m laburnumhatch faults
 
 measure: $(READY)
-	$(VENV)/bin/laburnumhatch measure all --figures docs/figures
+	$(VENV)/bin/laburnumhatch measure all --workers 4 --figures docs/figures
 
 bench: $(READY)
 	$(VENV)/bin/laburnumhatch bench
--- a/laburnumhatch/measures/bench_command.py
+++ b/laburnumhatch/measures/bench_command.py
@@ -64,6 +64,9 @@
         click.echo(
             f"{cost.name:18}{cost.median:8.0f} us of processor time a request, "
             f"ratio {cost.median / bare:.2f} (target {RATIO_TARGET}), "
+            f"without control {cost.without_control:.0f} us and "
+            f"{cost.without_control / costs[0].without_control:.2f}, "
+            f"control {cost.idle_share:.1%} of a core, "
             f"{cost.rate:.0f} requests/s, {cost.failures} of {cost.requests} failed; "
             f"turns: {turns}"
         )
--- a/laburnumhatch/measures/request_cost.py
+++ b/laburnumhatch/measures/request_cost.py
@@ -24,6 +24,7 @@
 CALLERS = 8
 KEYS = 200
 WARM_UP_REQUESTS = 500
+IDLE_SECONDS = 5.0
 OK = 200
 
 
@@ -40,6 +41,8 @@
         Processor time of a request, for each turn.
     rate : float
         Requests a second while it was measured, callers and stand-ins on the same machine.
+    idle_share : float
+        Share of a core that the process used before, without requests.
     """
 
     name: str
@@ -47,12 +50,18 @@
     failures: int
     microseconds: tuple[float, ...]
     rate: float
+    idle_share: float
 
     @property
     def median(self) -> float:
         """Median over the turns, microseconds."""
         return sorted(self.microseconds)[len(self.microseconds) // 2]
 
+    @property
+    def without_control(self) -> float:
+        """Median less what the process uses without requests, microseconds."""
+        return self.median - self.idle_share / self.rate * 1e6
+
 
 @dataclass(frozen=True, slots=True)
 class _Subject:
@@ -95,7 +104,7 @@
             await deployment.publish()
             await deployment.entries_ready()
             subjects = await _subjects(deployment)
-            costs = await _take_turns(clock, caller, subjects, requests, turns)
+            costs = await _take_turns(reactor, clock, caller, subjects, requests, turns)
         await caller.close()
     return costs
 
@@ -121,8 +130,14 @@
 
 
 async def _take_turns(
-    clock: Clock, caller: Caller, subjects: Sequence[_Subject], requests: int, turns: int
+    reactor: Any,
+    clock: Clock,
+    caller: Caller,
+    subjects: Sequence[_Subject],
+    requests: int,
+    turns: int,
 ) -> list[RequestCost]:
+    idle = await _idle_shares(reactor, subjects)
     seen: dict[str, list[tuple[float, float, int]]] = {subject.name: [] for subject in subjects}
     for subject in subjects:
         await _send_all(caller, subject, WARM_UP_REQUESTS)
@@ -139,11 +154,23 @@
             failures=sum(failures for _, _, failures in rows),
             microseconds=tuple(used / requests * 1e6 for used, _, _ in rows),
             rate=requests * turns / sum(seconds for _, seconds, _ in rows),
+            idle_share=idle[name],
         )
         for name, rows in seen.items()
     ]
 
 
+async def _idle_shares(reactor: Any, subjects: Sequence[_Subject]) -> dict[str, float]:
+    before = {subject.name: processor_seconds(subject.child) for subject in subjects}
+    due: Deferred[None] = Deferred()
+    reactor.callLater(IDLE_SECONDS, due.callback, None)
+    await due
+    return {
+        subject.name: (processor_seconds(subject.child) - before[subject.name]) / IDLE_SECONDS
+        for subject in subjects
+    }
+
+
 async def _send_all(caller: Caller, subject: _Subject, count: int) -> int:
     """Send requests from some callers at a time; return how many got no good answer."""
     numbers = iter(range(count))
