Write the last spans when an instance ends, and check a span for each hop

Cause: spans wait up to a second in the exporter's buffer, and the daemon ended without flushing it; after a graceful stop the file lacked them. The test of the whole path now sends a traceparent with each request and looks for the request's span under it and the call's span that the server saw; it failed before (no span in the file) and passes now. Tests compare the commands, options and metrics that the documents name with the code.

--- a/laburnumhatch/commands/tests/test_documents.py
+++ b/laburnumhatch/commands/tests/test_documents.py
@@ -1,14 +1,19 @@
 """The documents' tables say what the code says."""
 
 import json
+import re
 from pathlib import Path
 
+import click
 import pytest
+from aioprometheus import Registry
 
+from ...requests.metrics import RequestMetrics
 from ...results import ResultCode
 from ...routing import RoutingFile
 from ...settings import InstanceSettings
 from ..exit_codes import ExitCode
+from ..main import main
 
 DOCUMENTS = Path(__file__).parents[3] / "docs"
 BOUNDS = (
@@ -55,6 +60,29 @@
     assert [row[:4] for row in _rows("CONFIGURATION.md", heading)] == expected
 
 
+@pytest.mark.parametrize("document", ["../README.md", "OPERATING.md", "CONFIGURATION.md"])
+def test_commands_in_the_documents_exist_with_their_options(document):
+    text = (DOCUMENTS / document).read_text(encoding="utf-8")
+    lines = re.findall(r"(?<!/)\blaburnumhatch ((?:[a-z]+ ?)+[^#`&\n]*)", text)
+    assert lines
+    for line in lines:
+        words = line.split()
+        command = main
+        while isinstance(command, click.Group) and words:
+            name = words.pop(0)
+            command = command.get_command(click.Context(command), name)
+            assert command is not None, f"{document} names the command {name} in: {line}"
+        known = {option for parameter in command.params for option in parameter.opts}
+        assert {word for word in words if word.startswith("--")} <= {*known, "--help"}, line
+
+
+def test_metrics_are_those_of_the_code():
+    registry = Registry()
+    RequestMetrics(registry)
+    names = {row[0].strip("`") for row in _rows("OPERATING.md", "Logs, metrics, traces")}
+    assert names == {collector.name for collector in registry.collectors.values()}
+
+
 def _fields(schema, definitions, prefix):
     """Yield field, type, default and bounds of each field of a JSON schema, as in the tables."""
     for name, field in schema["properties"].items():
--- a/laburnumhatch/entry/daemon.py
+++ b/laburnumhatch/entry/daemon.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from opentelemetry import trace
+from opentelemetry.sdk.trace import TracerProvider
 
 from ..clocks import Clock, ReactorClock, boot_seconds
 from ..settings import InstanceSettings
@@ -35,7 +36,7 @@
     reactor = _installed_reactor()
     start_logging(settings.name)
     clock = ReactorClock(reactor, boot_seconds)
-    _start_tracing(settings, clock)
+    provider = _start_tracing(settings, clock)
     exit_codes: list[int] = []
 
     def exit_process(code: int) -> None:
@@ -46,6 +47,7 @@
     _stop_on_signals(reactor, instance)
     reactor.callWhenRunning(_start, instance, settings.name)
     reactor.run(installSignalHandlers=False)
+    provider.shutdown()
     return exit_codes[0] if exit_codes else 1
 
 
@@ -62,7 +64,7 @@
     signal.signal(signal.SIGINT, stop)
 
 
-def _start_tracing(settings: InstanceSettings, clock: Clock) -> None:
+def _start_tracing(settings: InstanceSettings, clock: Clock) -> TracerProvider:
     exporter = None
     if settings.trace_file is not None:
         stream = (
@@ -75,6 +77,7 @@
         settings.name, settings.data_centre, settings.trace_share, exporter
     )
     trace.set_tracer_provider(provider)
+    return provider
 
 
 def _installed_reactor() -> Any:
--- a/laburnumhatch/entry/tests/test_whole_path.py
+++ b/laburnumhatch/entry/tests/test_whole_path.py
@@ -18,6 +18,7 @@
 NAMES = ("rosa", "b 2/æ")
 ENCODED_NAMES = ("rosa", "b%202%2F%C3%A6")
 STOCK = "timber-yard-stock-ledger"
+CALLER_SPAN = "00f067aa0ba902b7"
 FILM_BYTES = 300_000
 OWNED_WITHIN = timedelta(seconds=10)
 
@@ -42,13 +43,14 @@
         for n in range(len(NAMES))
     ]
     assert len(sent) == len(ENTRIES) * 12 * len(NAMES) - (4 if example == "duefjaer" else 0)
-    await gatherResults([Deferred.fromCoroutine(one) for one in sent], consumeErrors=True)
+    calls = await gatherResults([Deferred.fromCoroutine(one) for one in sent], consumeErrors=True)
     await _check_refusal(deployment)
     await _check_metrics(deployment, len(sent) // len(ENTRIES))
     for entry in ENTRIES:
         deployment.entries[entry].process.terminate()
     codes = [await processes.ended(deployment.entries[entry]) for entry in ENTRIES]
     assert codes == [0, 0], [child.output for child in deployment.entries.values()]
+    _check_spans(deployment, dict(calls))
 
 
 @pytest_twisted.ensureDeferred
@@ -92,7 +94,8 @@
     if "film" in path or "/drawings/" in path:
         query += f"&answer_bytes={FILM_BYTES}"
     body = nonce.encode() * 100 if kind.method in ("POST", "PUT") else b""
-    headers = {"Deadline-Ms": "20000"}
+    trace = hashlib.md5(nonce.encode()).hexdigest()
+    headers = {"Deadline-Ms": "20000", "Traceparent": f"00-{trace}-{CALLER_SPAN}-01"}
     if not kind.repeatable:
         headers["Idempotency-Key"] = f'"{hashlib.sha256(nonce.encode()).hexdigest()}"'
     url = f"{deployment.entry_url(entry)}{path}?{query}"
@@ -103,12 +106,14 @@
     assert (echo["method"], echo["path"], echo["query"]) == (kind.method, path, query)
     assert (echo["body_bytes"], echo["body_digest"]) == (len(body), _digest(body))
     assert echo["runs"] == 1
+    assert echo["traceparent"].split("-")[1] == trace
     if "answer_bytes" in query:
         assert len(answer.body) == FILM_BYTES
         assert answer.headers["digest-sha256"] == _digest(answer.body)
     if file.ownership is not None:
         assert (echo["key"], echo["server"]) == (NAMES[n], owners[file.service, NAMES[n]])
         assert echo["epoch"] is not None
+    return trace, echo["traceparent"].split("-")[2]
 
 
 async def _check_refusal(deployment):
@@ -123,5 +128,17 @@
     assert sum(float(line.rpartition(" ")[2]) for line in lines) == answered
 
 
+def _check_spans(deployment, calls):
+    """Check that each trace has a span for the request and one for the call that the server saw."""
+    text = "".join(deployment.trace_path(entry).read_text() for entry in ENTRIES)
+    spans = [json.loads(line) for line in text.splitlines()]
+    requests = {span["trace"]: span for span in spans if span["name"] == "request"}
+    called = {span["trace"]: span for span in spans if span["name"] == "upstream call"}
+    for trace, span in calls.items():
+        assert requests[trace]["parent"] == CALLER_SPAN
+        assert called[trace]["parent"] == requests[trace]["span"]
+        assert called[trace]["span"] == span
+
+
 def _digest(content):
     return hashlib.sha256(content).hexdigest()
--- a/laburnumhatch/standins/deployment.py
+++ b/laburnumhatch/standins/deployment.py
@@ -81,6 +81,10 @@
         """Return the settings file of an entry instance."""
         return self.processes.directory / f"{name}.settings.json"
 
+    def trace_path(self, name: str) -> Path:
+        """Return the file of an entry instance's spans."""
+        return self.processes.directory / f"{name}.spans"
+
     async def fetch(self, url: str) -> Any:
         """Return the JSON document at a URL; None where there is no good answer."""
         answer = await self.caller.send("GET", url)
@@ -145,6 +149,7 @@
             "instance_list": f"{self.platform_url}/instances",
         }
         settings["seeds"] = []
+        settings["trace_file"] = str(self.trace_path(name))
         settings["unready_before_close"] = UNREADY_BEFORE_CLOSE.total_seconds()
         self.settings_path(name).write_text(json.dumps(settings), encoding="utf-8")
 
--- a/laburnumhatch/standins/upstream.py
+++ b/laburnumhatch/standins/upstream.py
@@ -262,6 +262,7 @@
             "slot": run.slot,
             "epoch": run.epoch,
             "runs": count,
+            "traceparent": header(request, "traceparent"),
             "body_bytes": size,
             "body_digest": digest,
         }
