Bound and count the connections of an upstream stand-in

A target takes about 100 connections from all instances together; the stand-in now closes further ones and counts them, and the test of the whole path checks that no target had to.

--- a/laburnumhatch/commands/standin.py
+++ b/laburnumhatch/commands/standin.py
@@ -99,6 +99,7 @@
 @_host_option
 @_port_option
 @click.option("--slots", default=2, show_default=True, type=click.IntRange(1))
+@click.option("--connections", default=100, show_default=True, type=click.IntRange(1))
 @click.option("--checks-fencing/--no-checks-fencing", default=False, show_default=True)
 @_behaviour_options
 def upstream(
@@ -107,13 +108,15 @@
     host: str,
     port: int,
     slots: int,
+    connections: int,
     checks_fencing: bool,
     **behaviour: Any,
 ) -> None:
     """Serve as one target of a service; the key is the path's second segment."""
-    options = UpstreamOptions(service, name, slots, checks_fencing, **behaviour)
+    options = UpstreamOptions(service, name, slots, connections, checks_fencing, **behaviour)
     state = UpstreamStandin(options, _clock(), second_segment)
-    run_apps([ServedApp("http", build_upstream_app(state), host, port)], name, state.leave)
+    served = ServedApp("http", build_upstream_app(state), host, port, state.connections)
+    run_apps([served], name, state.leave)
 
 
 @standin.command()
@@ -132,12 +135,18 @@
     served: list[ServedApp] = []
     for target in targets:
         options = UpstreamOptions(
-            description.name, target.name, description.target_slots, checks_fencing, **behaviour
+            description.name,
+            target.name,
+            description.target_slots,
+            description.target_connections,
+            checks_fencing,
+            **behaviour,
         )
         state = UpstreamStandin(options, _clock(), matched_key(description))
         port = ANY_PORT if any_port else target.port
         states.append(state)
-        served.append(ServedApp(target.name, build_upstream_app(state), target.host, port))
+        app = build_upstream_app(state)
+        served.append(ServedApp(target.name, app, target.host, port, state.connections))
     run_apps(served, description.name, lambda stop: leave_all(states, stop))
 
 
--- a/laburnumhatch/entry/tests/test_whole_path.py
+++ b/laburnumhatch/entry/tests/test_whole_path.py
@@ -46,6 +46,7 @@
     calls = await gatherResults([Deferred.fromCoroutine(one) for one in sent], consumeErrors=True)
     await _check_refusal(deployment)
     await _check_metrics(deployment, len(sent) // len(ENTRIES))
+    await _check_connections(deployment)
     for entry in ENTRIES:
         deployment.entries[entry].process.terminate()
     codes = [await processes.ended(deployment.entries[entry]) for entry in ENTRIES]
@@ -128,6 +129,14 @@
     assert sum(float(line.rpartition(" ")[2]) for line in lines) == answered
 
 
+async def _check_connections(deployment):
+    """Check that no target was asked for more connections than its routing file allows."""
+    for service, target in deployment.targets:
+        counters = await deployment.fetch(f"{deployment.target_url(service, target)}/counters")
+        assert counters["connections"]["refused"] == 0
+        assert counters["connections"]["limit"] == 100
+
+
 def _check_spans(deployment, calls):
     """Check that each trace has a span for the request and one for the call that the server saw."""
     text = "".join(deployment.trace_path(entry).read_text() for entry in ENTRIES)
--- a/laburnumhatch/standins/daemon.py
+++ b/laburnumhatch/standins/daemon.py
@@ -10,6 +10,8 @@
 from twisted.internet import reactor as _reactor
 from twisted.web.server import Site
 
+from .connections import ConnectionTally, LimitedFactory
+
 __all__ = ["ServedApp", "run_apps"]
 
 BACKLOG = 511
@@ -17,12 +19,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ServedApp:
-    """An app and where it listens; port 0 takes any free port."""
+    """An app and where it listens.
+
+    Attributes
+    ----------
+    name : str
+    app : Klein
+    host : str
+        IP number.
+    port : int
+        0 takes any free port.
+    connections : ConnectionTally or None
+        Bounds and counts the connections, if given.
+    """
 
     name: str
     app: Klein
     host: str
     port: int
+    connections: ConnectionTally | None = None
 
 
 def run_apps(
@@ -62,7 +77,9 @@
 
 
 def _listen(reactor: Any, served: ServedApp) -> int:
-    site = Site(served.app.resource())
-    listening = reactor.listenTCP(served.port, site, backlog=BACKLOG, interface=served.host)
+    factory: Any = Site(served.app.resource())
+    if served.connections is not None:
+        factory = LimitedFactory(factory, served.connections)
+    listening = reactor.listenTCP(served.port, factory, backlog=BACKLOG, interface=served.host)
     port: int = listening.getHost().port
     return port
--- a/laburnumhatch/standins/tests/conftest.py
+++ b/laburnumhatch/standins/tests/conftest.py
@@ -56,7 +56,7 @@
 @pytest.fixture
 def upstream(clock):
     """An upstream stand-in with one slot and a queue of one."""
-    options = UpstreamOptions("lofts", "loft-1", 1, False, 1, timedelta(0), WORK, True)
+    options = UpstreamOptions("lofts", "loft-1", 1, 2, False, 1, timedelta(0), WORK, True)
     return UpstreamStandin(options, clock, second_segment)
 
 
--- a/laburnumhatch/standins/tests/test_upstream.py
+++ b/laburnumhatch/standins/tests/test_upstream.py
@@ -149,7 +149,7 @@
 
 
 def test_cold_start_refuses_and_is_slow_for_as_long_again(calls, upstream, clock):
-    upstream.options = type(upstream.options)("l", "n", 1, False, 1, 10 * WORK, WORK, True)
+    upstream.options = type(upstream.options)("l", "n", 1, 2, False, 1, 10 * WORK, WORK, True)
     calls.send("a")
     assert calls.status("a") == (503, "not run")
     calls.pass_time(10 * WORK)
@@ -175,7 +175,7 @@
 
 
 def test_request_runs_only_under_a_grant_where_tokens_are_checked(calls, upstream, upstream_stub):
-    upstream.options = type(upstream.options)("lofts", "n", 1, True, 1, 0 * WORK, WORK, True)
+    upstream.options = type(upstream.options)("lofts", "n", 1, 2, True, 1, 0 * WORK, WORK, True)
     grant = {"service": "lofts", "grants": [{"first": 3, "last": 5, "epoch": 2}]}
     fenced = {"Ownership_Slot": "4", "Fencing_Token": "2"}
     calls.send("early", **fenced)
--- a/laburnumhatch/standins/upstream.py
+++ b/laburnumhatch/standins/upstream.py
@@ -14,6 +14,7 @@
 
 from ..clocks import Clock, milliseconds, to_milliseconds
 from ..ownership import hash_key
+from .connections import ConnectionTally
 from .grants import GrantBook
 from .http import answer_json, header, sleep
 from .run_log import Run, RunLog
@@ -44,6 +45,8 @@
     service, name : str
     slots : int
         Requests that run at a time.
+    connections : int
+        Connections that are accepted at a time.
     checks_fencing : bool
         Run only requests for whose slot or key a grant is held.
     queue_limit : int
@@ -61,6 +64,7 @@
     service: str
     name: str
     slots: int
+    connections: int
     checks_fencing: bool
     queue_limit: int
     cold_start: timedelta
@@ -91,6 +95,7 @@
         self.queue = WorkQueue(self.options.slots, self.options.queue_limit)
         self.grants = GrantBook(self.clock, self.options.honours_expiry)
         self.log = RunLog(self.clock, self.options.journal)
+        self.connections = ConnectionTally(self.options.connections)
         self.requests: dict[str, Deferred[bytes]] = {}
         self._thawed: list[Deferred[None]] = []
         self._idle: list[Callable[[], None]] = []
--- a/laburnumhatch/standins/upstream_app.py
+++ b/laburnumhatch/standins/upstream_app.py
@@ -1,6 +1,7 @@
 """HTTP service of an upstream stand-in."""
 
 from collections.abc import Callable
+from dataclasses import asdict
 from datetime import timedelta
 from typing import Any, TypeVar
 
@@ -95,6 +96,10 @@
         upstream.replace_faults(faults)
         return answer_json(request, OK, upstream.faults.model_dump())
 
+    @app.route("/counters", methods=["GET"])
+    def read_counters(request: Request) -> bytes:
+        return answer_json(request, OK, {"connections": asdict(upstream.connections)})
+
     @app.route("/runs", methods=["GET"])
     def read_runs(request: Request) -> bytes:
         return answer_json(request, OK, upstream.log.document())
