Watch targets that only this instance holds to be out of service

Cause: an instance that suspected a target by its own requests, or held it longer than others, waited for a report of its return that nobody had reason to send, so it never sent work there again. And a drained target that had closed its port came back when its health endpoint answered over a kept connection.

Change: an instance probes what it holds to be out of service itself, less often the more instances there are (50 probes a second of one target from all together); within the lag of health endpoints a drained target is ready only by way of starting. A property test over four instances, with drains, refusals, silences, cuts and misleading health, checks that a drain holds and that all trouble ends.

Failing first: test_one_instance_with_a_broken_path_does_not_suspend_a_target, extended to the end of the trouble, found the instance still without work.

--- a/laburnumhatch/membership/prober.py
+++ b/laburnumhatch/membership/prober.py
@@ -17,6 +17,9 @@
 __all__ = ["TargetKey", "TargetProber"]
 
 ASSIGN_INTERVAL = milliseconds(1000)
+# Interval, for each live instance, at which an instance probes a target that others are to probe:
+# all of them together probe it at most 50 times a second.
+WATCH_SPREAD = milliseconds(20)
 
 # Names of the service and of the target.
 TargetKey = tuple[str, str]
@@ -46,7 +49,9 @@
     -----
     Each target has two probers whatever the number of instances, so the work of an instance
     grows with the targets for each instance and not with all targets. The assignment is worked
-    out again only when the live instances or the targets change.
+    out again only when the live instances or the targets change. Besides, an instance watches
+    what it holds to be out of service itself, the less often the more instances there are: what
+    it saw itself, no other may have seen, and so none would tell it of the end.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         self._jitter = jitter
         self._targets: Mapping[TargetKey, Target] = {}
         self._assigned: dict[TargetKey, Target] = {}
+        self._watched: set[TargetKey] = set()
         self._assigned_for: tuple[Instance, ...] | None = None
         self._timers: dict[TargetKey, Cancellable] = {}
         self._assign_timer: Cancellable | None = None
@@ -82,10 +88,21 @@
     def follow(self, targets: Mapping[TargetKey, Target]) -> None:
         """Probe these targets in place of those before."""
         self._targets = targets
+        self._watched &= targets.keys()
         self._assigned_for = None
         if self._running:
             self._assign()
 
+    def watch(self, key: TargetKey) -> None:
+        """Probe a target whether it is assigned or not."""
+        self._watched.add(key)
+        if self._running and key not in self._timers:
+            self._schedule(key, self._interval(key))
+
+    def unwatch(self, key: TargetKey) -> None:
+        """Probe a target only if it is assigned."""
+        self._watched.discard(key)
+
     def start(self) -> None:
         """Start probing."""
         self._running = True
@@ -110,15 +127,14 @@
         if live == self._assigned_for:
             return
         self._assigned_for = live
-        before = self._assigned
         self._assigned = {
             key: target for key, target in self._targets.items() if self._is_own(live, key, target)
         }
-        for key in set(before) - set(self._assigned):
+        probed = self._assigned.keys() | self._watched
+        for key in set(self._timers) - probed:
             self._cancel(key)
-        for key in self._assigned:
-            if key not in before:
-                self._schedule(key, self._interval_of(key) * self._jitter())
+        for key in probed - set(self._timers):
+            self._schedule(key, self._interval(key) * self._jitter())
 
     def _is_own(self, live: tuple[Instance, ...], key: TargetKey, target: Target) -> bool:
         probers = probers_of(live, *key, target.data_centre)
@@ -133,8 +149,13 @@
         if timer is not None and timer.active():
             timer.cancel()
 
+    def _interval(self, key: TargetKey) -> timedelta:
+        if key in self._assigned:
+            return self._interval_of(key)
+        return max(self._interval_of(key), WATCH_SPREAD * len(self._instances.live()))
+
     def _start_probe(self, key: TargetKey) -> None:
-        probe = Deferred.fromCoroutine(self._run(key, self._assigned[key]))
+        probe = Deferred.fromCoroutine(self._run(key, self._targets[key]))
         probe.addErrback(lambda f: _log.error("a probe failed: {}", f.getTraceback()))
         probe.addBoth(lambda _: self._probed(key))
 
@@ -145,5 +166,7 @@
             self._on_outcome(key, outcome)
 
     def _probed(self, key: TargetKey) -> Any:
-        if key in self._assigned:
-            self._schedule(key, self._interval_of(key) * (0.9 + 0.1 * self._jitter()))
+        if not self._running or (key not in self._assigned and key not in self._watched):
+            self._timers.pop(key, None)
+        elif key in self._timers:
+            self._schedule(key, self._interval(key) * (0.9 + 0.1 * self._jitter()))
--- a/laburnumhatch/membership/target_health.py
+++ b/laburnumhatch/membership/target_health.py
@@ -170,6 +170,10 @@
         _log.info(
             "target {} of {}: {} to {} by {}", key[1], key[0], before.state, record.state, cause
         )
+        if record.state is TargetState.READY:
+            self._prober.unwatch(key)
+        else:
+            self._prober.watch(key)
         self._reports.share(key)
         for listener in self._listeners:
             listener(*key, record.state)
--- a/laburnumhatch/membership/target_record.py
+++ b/laburnumhatch/membership/target_record.py
@@ -61,6 +61,8 @@
     last_trip : timedelta or None
     last_answer : timedelta or None
         Instant of the last answer to an own request.
+    drained : timedelta or None
+        Instant at which the target last said that it is leaving.
     """
 
     state: TargetState = TargetState.READY
@@ -72,6 +74,11 @@
     trips: int = 0
     last_trip: timedelta | None = None
     last_answer: timedelta | None = None
+    drained: timedelta | None = None
+
+    def lags(self, now: timedelta) -> bool:
+        """Return whether health endpoints may still show the state before the last drain."""
+        return self.drained is not None and now - self.drained < HEALTH_LAG
 
     def answered_since(self, instant: timedelta) -> bool:
         """Return whether an own request was answered at `instant` or later."""
@@ -93,11 +100,12 @@
     Notes
     -----
     Bad news counts at once, good news only after the hold. A drain answer outweighs everything
-    but the end of the process: health endpoints lag, so a leaving target comes back only after
-    its port was closed, or after a long hold. A refused connection makes it gone. Two silences
-    without an answer make it suspect, even while its health endpoint says ready. The hold grows
-    with each trip, so that a flapping target, or one whose health endpoint misleads, costs ever
-    fewer requests.
+    but a new process: health endpoints lag, and one that is asked over a kept connection answers
+    even after its port was closed. So a leaving target comes back only when it closed its port
+    and says that it is starting, or after a long hold. A refused connection makes it gone. Two
+    silences without an answer make it suspect, even while its health endpoint says ready. The
+    hold grows with each trip, so that a flapping target, or one whose health endpoint misleads,
+    costs ever fewer requests.
     """
     return _RULES[signal](record, now)
 
@@ -131,13 +139,14 @@
     if evidence <= record.since:
         return record
     if state is TargetState.LEAVING:
-        return _trip(record, state, now, evidence)
+        return _leaving(record, now, evidence)
     if state is TargetState.GONE:
         return record if record.answered_since(evidence) else _gone(record, now, evidence)
     if state is TargetState.SUSPECT:
         return _report_suspect(record, reporter, evidence, now)
     if state is TargetState.STARTING:
-        return _enter(record, state, evidence) if _may_have_restarted(record, now) else record
+        lagging = record.state is TargetState.LEAVING and record.lags(now)
+        return record if lagging else _enter(record, state, evidence)
     return _report_ready(record, reporter, evidence, now)
 
 
@@ -185,7 +194,11 @@
 
 
 def _draining(record: TargetRecord, now: timedelta) -> TargetRecord:
-    return _trip(record, TargetState.LEAVING, now, now)
+    return _leaving(record, now, now)
+
+
+def _leaving(record: TargetRecord, now: timedelta, since: timedelta) -> TargetRecord:
+    return replace(_trip(record, TargetState.LEAVING, now, since), drained=since)
 
 
 def _refused(record: TargetRecord, now: timedelta) -> TargetRecord:
@@ -225,23 +238,20 @@
     if record.state is TargetState.STARTING:
         return _enter(record, TargetState.READY, now)
     confirmed = replace(record, confirmations=record.confirmations + 1)
-    if confirmed.confirmations < CONFIRMATIONS or now - record.since < hold_of(record):
+    held = record.lags(now) or now - record.since < hold_of(record)
+    if held or confirmed.confirmations < CONFIRMATIONS:
         return confirmed
     return _enter(record, TargetState.READY, now)
 
 
 def _health_starting(record: TargetRecord, now: timedelta) -> TargetRecord:
-    if not _may_have_restarted(record, now):
+    if record.state is TargetState.LEAVING and record.lags(now):
         return record
     if record.state is TargetState.STARTING or record.answered_since(now - FRESH_ANSWER):
         return record
     return _enter(record, TargetState.STARTING, now)
 
 
-def _may_have_restarted(record: TargetRecord, now: timedelta) -> bool:
-    return record.state is not TargetState.LEAVING or now - record.since >= HEALTH_LAG
-
-
 def _report_suspect(
     record: TargetRecord, reporter: str, evidence: timedelta, now: timedelta
 ) -> TargetRecord:
@@ -259,6 +269,8 @@
     held = record.state in (TargetState.SUSPECT, TargetState.LEAVING)
     if held and now - record.since < hold_of(record):
         return record
+    if record.state is TargetState.GONE and record.lags(now):
+        return record
     return _enter(record, TargetState.READY, evidence)
 
 
--- a/laburnumhatch/membership/tests/test_target_health.py
+++ b/laburnumhatch/membership/tests/test_target_health.py
@@ -3,15 +3,18 @@
 from datetime import timedelta
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from twisted.internet.defer import succeed
 
+from ...conftest import FakeClock
 from ...links.tests.conftest import Network
 from ...routing import Service, Snapshot, Target
 from ..interfaces import TargetState
 from ..messages import MEMBERSHIP_MESSAGES
 from ..probe import ProbeOutcome
 from ..target_health import TargetHealth
-from ..target_record import Signal
+from ..target_record import LONGEST_LEAVING_HOLD, Signal
 from .conftest import make_instance
 
 # After this time no instance sends new work to a target that leaves.
@@ -121,6 +124,58 @@
         fleet.health["a"].note_silence("lofts", "t-1")
     fleet.network.deliver()
     assert fleet.take_work() == ALL | {"a": False}
+    # Nobody else saw trouble, so nobody will tell of its end.
+    fleet.network.run(3)
+    assert fleet.take_work() == ALL
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["drain", "refuse", "silence", "cut", "rejoin", "health"]),
+        st.sampled_from(NAMES),
+        st.sampled_from([Signal.HEALTH_READY, Signal.HEALTH_STARTING, Signal.PROBE_SILENCE]),
+        st.integers(0, 8),
+    ),
+    max_size=12,
+)
+
+
+@settings(max_examples=25)
+@given(EVENTS)
+def test_drain_holds_and_trouble_ends_through_any_failures(events):
+    """After a drain no instance that is reached takes work; in the end all take it again."""
+    fleet = Fleet(FakeClock(), targets=1)
+    network, drained, reached = fleet.network, None, set(NAMES)
+    for event, name, signal, halves in events:
+        health = fleet.health[name]
+        if event == "drain":
+            health.note_draining("lofts", "t-0")
+            drained, reached = network.clock.now(), {name}
+            if name not in network.isolated:
+                reached |= set(NAMES) - network.isolated
+        elif event == "refuse":
+            health.note_connection_refused("lofts", "t-0")
+        elif event == "silence":
+            health.note_silence("lofts", "t-0")
+        elif event == "cut":
+            network.isolate(name)
+        elif event == "rejoin":
+            network.rejoin(name)
+        else:
+            fleet.signal = signal
+        network.run(halves / 2, step=0.25)
+        if drained is None:
+            continue
+        since = network.clock.now() - drained
+        restarted = any(e[2] is Signal.HEALTH_STARTING for e in events if e[0] == "health")
+        if timedelta(seconds=LEAVING_SECONDS) <= since < timedelta(seconds=10) and not restarted:
+            takes = fleet.take_work("t-0")
+            assert not any(takes[one] for one in reached)
+    fleet.signal = Signal.HEALTH_READY
+    for name in NAMES:
+        network.rejoin(name)
+    network.run(LONGEST_LEAVING_HOLD.total_seconds() + 5, step=0.5)
+    assert fleet.take_work("t-0") == ALL
 
 
 def test_each_target_is_probed_by_two_instances(fleet):
--- a/laburnumhatch/membership/tests/test_target_record.py
+++ b/laburnumhatch/membership/tests/test_target_record.py
@@ -57,6 +57,17 @@
             assert record.state is TargetState.LEAVING
 
 
+@given(st.lists(st.tuples(st.sampled_from([*HEALTHY, Signal.REFUSED]), steps), max_size=30))
+def test_drained_target_that_closed_its_port_is_not_ready_by_a_kept_connection(after):
+    now = timedelta(seconds=100)
+    record = apply_signal(TargetRecord(), Signal.DRAINING, now)
+    for signal, step in after:
+        now += step
+        if signal is not Signal.HEALTH_STARTING and now < timedelta(seconds=110):
+            record = apply_signal(record, signal, now)
+            assert record.state is not TargetState.READY
+
+
 @given(events)
 def test_refused_connection_and_repeated_silence_end_new_work_at_once(history):
     record, now = replay(history)
