--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -13,6 +13,7 @@
     "entry": ".entry",
     "explain": ".explain",
     "faults": "..faults.command",
+    "measure": "..measures.command",
     "publish": ".publish",
     "rollback": ".rollback",
     "standin": ".standin",
--- a/laburnumhatch/standins/deployment.py
+++ b/laburnumhatch/standins/deployment.py
@@ -40,6 +40,8 @@
     targets : dict of (str, str) to Child
         Process of each service's target.
     entries : dict of str to Child
+    unready_before_close : timedelta
+        Setting of the entry instances.
     """
 
     processes: ProcessGroup
@@ -49,6 +51,7 @@
     services: dict[str, RoutingFile] = field(default_factory=dict)
     targets: dict[tuple[str, str], Child] = field(default_factory=dict)
     entries: dict[str, Child] = field(default_factory=dict)
+    unready_before_close: timedelta = UNREADY_BEFORE_CLOSE
 
     @property
     def routing_directory(self) -> Path:
@@ -81,6 +84,10 @@
         """Return the settings file of an entry instance."""
         return self.processes.directory / f"{name}.settings.json"
 
+    def trace_path(self, name: str) -> Path:
+        """Return the file of an entry instance's spans."""
+        return self.processes.directory / f"{name}.spans"
+
     async def fetch(self, url: str) -> Any:
         """Return the JSON document at a URL; None where there is no good answer."""
         answer = await self.caller.send("GET", url)
@@ -145,7 +152,8 @@
             "instance_list": f"{self.platform_url}/instances",
         }
         settings["seeds"] = []
-        settings["unready_before_close"] = UNREADY_BEFORE_CLOSE.total_seconds()
+        settings["trace_file"] = str(self.trace_path(name))
+        settings["unready_before_close"] = self.unready_before_close.total_seconds()
         self.settings_path(name).write_text(json.dumps(settings), encoding="utf-8")
 
     def _listed(self, name: str, child: Child) -> dict[str, Any]:
@@ -170,6 +178,7 @@
     services: frozenset[str] | None = None,
     separate: frozenset[str] = frozenset(),
     work_ms: float = 1.0,
+    unready_before_close: timedelta = UNREADY_BEFORE_CLOSE,
 ) -> Deployment:
     """Start the stand-ins and entry instances of an example, without publishing.
 
@@ -189,9 +198,13 @@
         Services whose targets get a process each; the others share one for each service.
     work_ms : float, optional
         Work time of a request.
+    unready_before_close : timedelta, optional
+        Setting of the entry instances; longer than a balancer takes to notice, where one watches.
     """
     platform = processes.launch("platform", "standin", "platform")
-    deployment = Deployment(processes, caller, example, platform)
+    deployment = Deployment(
+        processes, caller, example, platform, unready_before_close=unready_before_close
+    )
     files = [
         f for f in _read_files(example, checks_fencing) if not services or f.service in services
     ]
