--- a/laburnumhatch/ownership/tests/test_server_clock.py
+++ b/laburnumhatch/ownership/tests/test_server_clock.py
@@ -29,7 +29,17 @@
 
 
 def _standin(clock):
-    options = UpstreamOptions("lofts", "a", 1, True, 1, 0 * SECOND, 0 * SECOND, True)
+    options = UpstreamOptions(
+        service="lofts",
+        name="a",
+        slots=1,
+        checks_fencing=True,
+        connections=10,
+        queue_limit=1,
+        cold_start=timedelta(),
+        work=timedelta(),
+        honours_expiry=True,
+    )
     return UpstreamStandin(options, clock, second_segment)
 
 
