Plan no slot move that a hot key was to be spared

Cause: a hot key that stays while its slot leaves was planned as a move of the key to its present owner. The ownership row drops such a move and lets the key follow its slot, so the key would have moved too and overloaded the next server. Ruled out for now: rows that keep such keys apart; the rule that lets a returned key follow its slot is there for servers that compare tokens.

--- a/laburnumhatch/planning/group_load.py
+++ b/laburnumhatch/planning/group_load.py
@@ -92,7 +92,7 @@
                 key.owner = destination
 
     def move_key(self, key: HotKey, destination: int) -> None:
-        """Give a key an owner of its own, which may be the one that it has."""
+        """Give a key an owner of its own."""
         if not key.overridden:
             self.slot_load[key.index] -= key.load
             key.overridden = True
--- a/laburnumhatch/planning/rebalance.py
+++ b/laburnumhatch/planning/rebalance.py
@@ -22,8 +22,6 @@
     destination: int
     index: int
     key: HotKey | None
-    # The key stays, and the rest of its slot moves.
-    pins: bool = False
 
 
 def net_gain(
@@ -82,10 +80,11 @@
     Notes
     -----
     Repeats the single change with the largest net gain that takes load from the busiest server
-    to the least busy warm or cold one: a slot, a hot key, or a slot whose hot key stays. A
-    server from which no change gains anything is set aside, with its load, so that the others
-    still are evened out. Each slot and key moves at most once in a plan. The cost is O(n) for n
-    slots and O(n / m) for each move, m being the number of servers.
+    to the least busy warm or cold one: a slot or a hot key. A hot key whose move would gain
+    nothing stays, and the other slots of its server leave. A server from which no change gains
+    anything is set aside, with its load, so that the others still are evened out. Each slot and
+    key moves at most once in a plan. The cost is O(n) for n slots and O(n / m) for each move, m
+    being the number of servers.
     """
     group = GroupLoad(view)
     active = [i for i, server in enumerate(view.servers) if server.takes_keys]
@@ -147,10 +146,6 @@
             yield _Candidate(float(gains[best]), destination, int(slots[best]), None)
         for key in _divisible_keys(group, source, mean, policy):
             yield _Candidate(float(gain(key.load, 0.0)), destination, key.index, key)
-            if not key.overridden:
-                rest = float(group.slot_load[key.index]) - key.load
-                pinned = float(gain(rest, slot_mean)) - policy.move_cost.total_seconds()
-                yield _Candidate(pinned, destination, key.index, key, pins=True)
 
 
 def _destinations(
@@ -183,12 +178,6 @@
         group.move_slot(best.index, best.destination)
         yield Move(slot, None, source, best.destination, f"{busy} is busier than the others")
         return
-    if best.pins:
-        group.move_key(key, source)
-        group.move_slot(best.index, best.destination)
-        yield Move(slot, key.key_hash, source, source, f"hot key stays alone on {busy}")
-        yield Move(slot, None, source, best.destination, f"makes room for a hot key on {busy}")
-        return
     returns = int(group.owners[best.index]) == best.destination
     group.move_key(key, best.destination)
     destination = -1 if returns else best.destination
