--- /dev/null
+++ b/laburnumhatch/standins/request_fields.py
@@ -0,0 +1,35 @@
+"""Reading of requests by an upstream stand-in."""
+
+import hashlib
+from urllib.parse import parse_qs
+
+from twisted.web.http import Request
+
+from .http import header
+
+__all__ = ["digest_body", "number_in_header", "number_in_query"]
+
+READ_SIZE = 65_536
+
+
+def number_in_header(request: Request, name: str) -> int | None:
+    """Return a header's number; None where there is none."""
+    value = header(request, name)
+    return int(value) if value.isdigit() else None
+
+
+def number_in_query(request: Request, name: str) -> int | None:
+    """Return a query argument's number; None where there is none."""
+    values = parse_qs(request.uri.decode().partition("?")[2]).get(name, [""])
+    return int(values[0]) if values[0].isdigit() else None
+
+
+def digest_body(request: Request) -> tuple[int, str]:
+    """Return the size and the SHA-256 digest of a request's body."""
+    assert request.content is not None
+    digest, size = hashlib.sha256(), 0
+    request.content.seek(0)
+    while chunk := request.content.read(READ_SIZE):
+        digest.update(chunk)
+        size += len(chunk)
+    return size, digest.hexdigest()
--- a/laburnumhatch/standins/tests/conftest.py
+++ b/laburnumhatch/standins/tests/conftest.py
@@ -8,8 +8,9 @@
 
 from ..keys import second_segment
 from ..platform import PlatformStandin, build_platform_app
-from ..upstream import UpstreamOptions, UpstreamStandin
+from ..upstream import UpstreamStandin
 from ..upstream_app import build_upstream_app
+from ..upstream_options import UpstreamOptions
 
 WORK = timedelta(milliseconds=100)
 
--- a/laburnumhatch/standins/upstream.py
+++ b/laburnumhatch/standins/upstream.py
@@ -1,12 +1,9 @@
 """State of an upstream stand-in, and the path of one request through it."""
 
-import hashlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
-from typing import TextIO
-from urllib.parse import parse_qs
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
@@ -17,12 +14,14 @@
 from .connections import ConnectionTally
 from .grants import GrantBook
 from .http import answer_json, header, sleep
+from .request_fields import digest_body, number_in_header, number_in_query
 from .run_log import Run, RunLog
 from .upstream_answer import send_answer
 from .upstream_faults import UpstreamFaults
+from .upstream_options import UpstreamOptions
 from .work_queue import WorkQueue
 
-__all__ = ["KeyFinder", "UpstreamOptions", "UpstreamStandin", "leave_all"]
+__all__ = ["KeyFinder", "UpstreamStandin", "leave_all"]
 
 OK = 200
 CONFLICT = 409
@@ -30,49 +29,11 @@
 CANCELLED = 504
 RETRY_AFTER_SHED_S = 1
 COLD_SLOWDOWN = 2
-READ_SIZE = 65_536
 
 # Returns the key of a request; empty where it has none.
 KeyFinder = Callable[[Request], str]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamOptions:
-    """What an upstream stand-in is like.
-
-    Attributes
-    ----------
-    service, name : str
-    slots : int
-        Requests that run at a time.
-    connections : int
-        Connections that are accepted at a time.
-    checks_fencing : bool
-        Run only requests for whose slot or key a grant is held.
-    queue_limit : int
-        Requests that wait at most; further ones are refused unrun.
-    cold_start : timedelta
-        Time from the start in which no request is taken; as long again, work takes twice as long.
-    work : timedelta
-        Time that one request runs.
-    honours_expiry : bool
-        Whether grants end after their time; otherwise only tokens are compared.
-    journal : text file or None
-        Gets a line at the start and at the end of each run.
-    """
-
-    service: str
-    name: str
-    slots: int
-    connections: int
-    checks_fencing: bool
-    queue_limit: int
-    cold_start: timedelta
-    work: timedelta
-    honours_expiry: bool
-    journal: TextIO | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class _Refusal:
     status: int
@@ -199,7 +160,8 @@
     def _fencing_refusal(self, request: Request) -> _Refusal | None:
         if not self.options.checks_fencing:
             return None
-        slot, epoch = _number(request, "ownership-slot"), _number(request, "fencing-token")
+        slot = number_in_header(request, "ownership-slot")
+        epoch = number_in_header(request, "fencing-token")
         if slot is None or epoch is None:
             return _Refusal(CONFLICT, "no fencing token", {"fencing-token": "0"})
         key = self.find_key(request)
@@ -221,7 +183,8 @@
                 self.log.end(run, "fenced")
                 return _refuse(request, refusal)
             answer = self._echo(request, run, count)
-            body = await send_answer(request, answer, _answer_bytes(request), self._take_cut())
+            film_bytes = number_in_query(request, "answer_bytes") or 0
+            body = await send_answer(request, answer, film_bytes, self._take_cut())
         except CancelledError:
             self.log.end(run, "cancelled")
             raise
@@ -229,7 +192,7 @@
         return body
 
     def _work_time(self, request: Request) -> timedelta:
-        asked = _query_number(request, "work_ms")
+        asked = number_in_query(request, "work_ms")
         work = self.options.work if asked is None else milliseconds(asked)
         if self.clock.now() - self.started < 2 * self.options.cold_start:
             work *= COLD_SLOWDOWN
@@ -249,13 +212,13 @@
             method=request.method.decode(),
             path=request.path.decode(),
             key=self.find_key(request),
-            slot=_number(request, "ownership-slot"),
-            epoch=_number(request, "fencing-token"),
+            slot=number_in_header(request, "ownership-slot"),
+            epoch=number_in_header(request, "fencing-token"),
             idempotency_key=header(request, "idempotency-key"),
         )
 
     def _echo(self, request: Request, run: Run, count: int) -> dict[str, object]:
-        size, digest = _digest_body(request)
+        size, digest = digest_body(request)
         return {
             "server": run.server,
             "service": self.options.service,
@@ -304,27 +267,3 @@
 def _refuse(request: Request, refusal: _Refusal) -> bytes:
     headers = {**refusal.headers, "run": "no"}
     return answer_json(request, refusal.status, {"error": refusal.reason}, headers)
-
-
-def _number(request: Request, name: str) -> int | None:
-    value = header(request, name)
-    return int(value) if value.isdigit() else None
-
-
-def _query_number(request: Request, name: str) -> int | None:
-    values = parse_qs(request.uri.decode().partition("?")[2]).get(name, [""])
-    return int(values[0]) if values[0].isdigit() else None
-
-
-def _answer_bytes(request: Request) -> int:
-    return _query_number(request, "answer_bytes") or 0
-
-
-def _digest_body(request: Request) -> tuple[int, str]:
-    assert request.content is not None
-    digest, size = hashlib.sha256(), 0
-    request.content.seek(0)
-    while chunk := request.content.read(READ_SIZE):
-        digest.update(chunk)
-        size += len(chunk)
-    return size, digest.hexdigest()
