--- a/laburnumhatch/requests/attempts.py
+++ b/laburnumhatch/requests/attempts.py
@@ -3,11 +3,12 @@
 from datetime import timedelta
 from typing import Any
 
-from ..clocks import Cancellable, to_milliseconds
+from ..clocks import to_milliseconds
 from ..ownership import NoOwner, Owner
 from ..results import Refusal, ResultCode, Run
 from ..routing import Match, Target
 from .body import KeptBody, StreamedBody
+from .call_limit import CallLimit
 from .caller import CallerRequest
 from .context import RequestContext
 from .history import AttemptRecord
@@ -83,7 +84,6 @@
         self._asked: frozenset[str] = frozenset()
         self._full: frozenset[str] = frozenset()
         self._retries = 0
-        self._call_timer: Cancellable | None = None
         self.may_have_run = False
         self.status: int | None = None
 
@@ -183,12 +183,12 @@
         inject_context(span, self._request.requestHeaders)
         if owner is None:
             context.chooser.request_started(service.name, target.name)
-        self._limit_call(call, owner)
+        limit = self._limit_call(call, owner)
         failure: AttemptFailure | None = Broken("internal error")
         try:
             failure = await call.run()
         finally:
-            self._cancel_call_timer()
+            limit.lift()
             now = context.clock.now()
             self._note(target, owner, call, failure, now)
             queue.ended(None if call.sent_at is None else now - call.sent_at)
@@ -233,46 +233,18 @@
             context.clock, context.ownership, pool, self._request, order, self._waits
         )
 
-    def _limit_call(self, call: UpstreamCall, owner: Owner | None) -> None:
-        self._waits.call_limit = None
-        service, kind = self._match.service, self._match.kind
+    def _limit_call(self, call: UpstreamCall, owner: Owner | None) -> CallLimit:
+        context, service, kind = self._context, self._match.service, self._match.kind
+        limit = CallLimit(context.clock, self._waits)
         if owner is None:
-            # A frozen server must not use up the time in which another could answer.
             may_ask_another = kind.repeatable and self._retries < kind.retry_limit
             if may_ask_another and len(service.targets) > 1:
-                half = (self._deadline - self._context.clock.now()) / 2
-                self._call_timer = self._context.clock.call_later(half, self._call_is_slow, call)
-            return
-        assert service.ownership is not None
+                limit.by_silence(call, (self._deadline - context.clock.now()) / 2)
+            return limit
+        assert service.ownership is not None and self._match.key is not None
         if not service.ownership.checks_fencing and owner.expires < self._deadline:
-            self._bound_by_lease(owner)
-
-    def _call_is_slow(self, call: UpstreamCall) -> None:
-        self._call_timer = None
-        if call.answered_at is None:
-            self._waits.end_call("the upstream was silent")
-
-    def _bound_by_lease(self, owner: Owner) -> None:
-        clock = self._context.clock
-        self._call_timer = clock.call_later(owner.expires - clock.now(), self._lease_ended, owner)
-
-    def _lease_ended(self, owner: Owner) -> None:
-        self._call_timer = None
-        assert self._match.key is not None
-        current = self._context.ownership.owner_of(self._match.service.name, self._match.key)
-        if (
-            isinstance(current, Owner)
-            and current.epoch == owner.epoch
-            and current.expires > self._context.clock.now()
-        ):
-            self._bound_by_lease(current)
-        else:
-            self._waits.end_call("the lease ended before the answer")
-
-    def _cancel_call_timer(self) -> None:
-        timer, self._call_timer = self._call_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
+            limit.by_lease(context.ownership, service.name, self._match.key, owner)
+        return limit
 
     def _note(
         self,
--- a/laburnumhatch/requests/context.py
+++ b/laburnumhatch/requests/context.py
@@ -96,6 +96,12 @@
         self._kind_totals: dict[str, Counter[str]] = {}
         self._id_prefix = f"{instance}-{random_source.getrandbits(IDENTIFIER_BITS):016x}"
         self._last_id = 0
+        self._aside = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in flight and no work is left to do for earlier ones."""
+        return not self.exchanges and not self._aside
 
     def next_request_id(self) -> str:
         """Return an identifier that no other request of any instance has."""
@@ -154,13 +160,15 @@
 
     def run_aside(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that no caller waits for; an error is logged."""
+        self._aside += 1
         running = Deferred.fromCoroutine(work)
         running.addErrback(lambda f: _log.warning("work aside failed: {}", f.getErrorMessage()))
+        running.addCallback(self._aside_over)
 
     def exchange_over(self, exchange: object) -> None:
         """Note that a request has its final answer."""
         self.exchanges.discard(exchange)
-        if not self.exchanges:
+        if self.is_idle:
             self._on_idle()
 
     def close(self) -> None:
@@ -200,6 +208,11 @@
         response.deliverBody(DiscardedAnswer(connection))
         return response.code in CANCELLED_STATUSES
 
+    def _aside_over(self, result: None) -> None:
+        self._aside -= 1
+        if self.is_idle:
+            self._on_idle()
+
     def _count_unmatched(self) -> None:
         self.metrics.dropped_answers["unmatched"] += 1
 
--- a/laburnumhatch/requests/path.py
+++ b/laburnumhatch/requests/path.py
@@ -122,7 +122,7 @@
         return done
 
     def _check_drained(self) -> None:
-        if self._drained and not self._context.exchanges:
+        if self._drained and self._context.is_idle:
             waiting, self._drained = self._drained, []
             self._context.close()
             closed = self._factory.close_connections()
--- a/laburnumhatch/requests/tests/test_claims.py
+++ b/laburnumhatch/requests/tests/test_claims.py
@@ -93,6 +93,30 @@
     assert len(server.requests) == 1
 
 
+@pytest_twisted.ensureDeferred
+async def test_drain_waits_until_a_claim_is_settled(bench, table):
+    server = bench.server("till-1")
+    bench.route(SET)
+    caller = await bench.caller()
+    caller.send("PUT", Idempotency_Key="k1")
+    await until(lambda: server.requests)
+    write, answered = table.write, Deferred()
+
+    async def late_write(*args):
+        await answered
+        return await write(*args)
+
+    table.write = late_write
+    bench.paths[0].stop_accepting()
+    drained = bench.paths[0].drained()
+    server.requests[0].answer()
+    assert (await caller.answer()).status == 200
+    assert not drained.called
+    answered.callback(None)
+    await drained
+    assert b"answered" in next(iter(table.rows.values())).value
+
+
 def test_write_that_lands_late_belongs_to_its_request(table):
     row_key = claim_key("till", "deposit", "k1")
     table.lost_replies = 1
