Pass lease requests on for an instance that is cut off from the coordinator

Cause: an instance whose stream to the coordinator alone was cut refused all owned keys, although others reached both. Now the standby and one further instance pass its requests on while they hear the coordinator; leases still count from before the first sending.

The state machine found an endless relay: an instance that stands in the row as the coordinator without holding the term passed its own request to itself. A request is passed on at most once, and never to its sender or to oneself. Loops of the scenarios are now bounded.

--- a/laburnumhatch/ownership/coordinator.py
+++ b/laburnumhatch/ownership/coordinator.py
@@ -197,6 +197,9 @@
     if known is not None and known.version != message.version:
         copy = copy_of_row(known)
     term = state.term
+    if term is None and _can_relay(state, instance, message, now):
+        assert known is not None
+        return [SendMessage(instance_of(known.coordinator), message)]
     valid = NOTHING
     if term is not None:
         valid = lease_validity(now, term.authority(setup.timing), setup.timing)
@@ -219,6 +222,7 @@
         setup.service,
         setup.group,
         setup.member,
+        message.member,
         message.number,
         known.version,
         valid,
@@ -229,6 +233,15 @@
     return [SendMessage(instance, grant)]
 
 
+def _can_relay(state: GroupState, instance: str, message: LeaseRequest, now: timedelta) -> bool:
+    """Return whether to pass a request on to the coordinator, which the asker may not reach."""
+    if state.known is None or instance != instance_of(message.member):
+        return False
+    if instance_of(state.known.coordinator) in (instance, state.setup.instance):
+        return False
+    return now - state.candidate.heard < state.setup.timing.silence
+
+
 def _note_holder(
     state: GroupState, term: Term, member: str, until: timedelta, now: timedelta
 ) -> None:
--- a/laburnumhatch/ownership/messages.py
+++ b/laburnumhatch/ownership/messages.py
@@ -76,6 +76,8 @@
 
     Attributes
     ----------
+    holder : str
+        Member that asked; another one that receives the message passes it on.
     number : int
     version : int
         Version of the row that the lease is for.
@@ -87,6 +89,7 @@
         Present where the instance has another version.
     """
 
+    holder: str
     number: int
     version: int
     valid: timedelta
--- a/laburnumhatch/ownership/routing_lease.py
+++ b/laburnumhatch/ownership/routing_lease.py
@@ -40,9 +40,7 @@
     known = state.known
     names = [] if known is None else [instance_of(known.coordinator)]
     if known is None or now - state.candidate.heard > timing.pull_interval * 2:
-        others = sorted(set(state.peers) - set(names))
-        if others:
-            names.append(others[lease.number % len(others)])
+        names += _relays(state, names)
     lease.number += 1
     lease.sent[lease.number] = now
     for number in [n for n in lease.sent if n <= lease.number - REMEMBERED_REQUESTS]:
@@ -55,8 +53,20 @@
     return [SendMessage(name, request) for name in names]
 
 
+def _relays(state: GroupState, asked: list[str]) -> list[str]:
+    """Return the standby and one further instance, each time another one."""
+    standbys = state.known.standbys if state.known is not None else ()
+    first = [instance_of(member) for member in standbys[:1]]
+    others = sorted(set(state.peers) - {*asked, *first})
+    if others:
+        first.append(others[state.lease.number % len(others)])
+    return [name for name in first if name in state.peers]
+
+
 def on_lease_grant(state: GroupState, message: LeaseGrant, now: timedelta) -> list[Effect]:
     """Adopt a lease, unless it is older than what is already known."""
+    if message.holder != state.setup.member:
+        return _pass_on(state, message)
     lease = state.lease
     sent = lease.sent.get(message.number)
     if message.row is not None:
@@ -82,6 +92,12 @@
     return effects
 
 
+def _pass_on(state: GroupState, message: LeaseGrant) -> list[Effect]:
+    """Send a grant on to the member that asked through this instance."""
+    holder = instance_of(message.holder)
+    return [] if holder == state.setup.instance else [SendMessage(holder, message)]
+
+
 def _has_row(lease: RoutingLease, message: LeaseGrant) -> bool:
     if message.row is not None:
         lease.row = row_of_copy(message.row)
--- a/laburnumhatch/ownership/tests/test_rules.py
+++ b/laburnumhatch/ownership/tests/test_rules.py
@@ -28,12 +28,16 @@
     return coordinator, standby, *sorted(set(NAMES) - {coordinator, standby})
 
 
-def _run_until_coordinator(world, names):
+def _run_until(world, condition):
     for _ in range(80):
-        world.run(STEP)
-        if world.coordinator() in names:
+        if condition():
             return
-    raise AssertionError("nobody took over")
+        world.run(STEP)
+    raise AssertionError("it did not come about within 8 s")
+
+
+def _run_until_coordinator(world, names):
+    _run_until(world, lambda: world.coordinator() in names)
 
 
 def _move_lost_slot(world):
@@ -89,12 +93,10 @@
     coordinator, standby, *_ = _roles(world)
     node = world.nodes[standby]
     world.nodes[coordinator].table_cut = True
-    while node.state.candidate.reached is None:
-        world.run(STEP)
+    _run_until(world, lambda: node.state.candidate.reached is not None)
     world.run(milliseconds(1000))
     node.hold_reads = 1
-    while not world.held_replies:
-        world.run(STEP)
+    _run_until(world, lambda: world.held_replies)
     world.split({coordinator}, table=False)
     world.deliver_held_reply()
     assert world.coordinator() == standby
@@ -126,13 +128,10 @@
 def standby_list_changes_unnoticed(world):
     """The change of the standby took effect, but its reply was lost and the table is cut off."""
     coordinator, standby, third, fourth = _roles(world)
-    world.nodes[standby].table_cut = True
-    world.cut(coordinator, standby)
+    world.split({standby}, table=False)
     world.nodes[coordinator].lose_replies = 1
     version = world.row.version
-    while world.row.version == version:
-        world.run(STEP)
-    world.heal(coordinator, standby)
+    _run_until(world, lambda: world.row.version > version)
     world.split({coordinator, standby}, table=False)
     _run_until_coordinator(world, {third, fourth})
     _move_lost_slot(world)
@@ -144,8 +143,8 @@
     coordinator, standby, *_ = _roles(world)
     world.table_down = True
     world.run(milliseconds(2500))
-    while world.nodes[coordinator].state.term.granted < world.now:
-        world.run(STEP)
+    term = world.nodes[coordinator].state.term
+    _run_until(world, lambda: term.granted == world.now)
     world.servers["s0"].frozen = True
     world.table_down = False
     for successor in (standby, coordinator):
@@ -197,3 +196,14 @@
     assert world.routed_by(third, 0) == world.routed_by(fourth, 0) == moved_to
     world.run(LONG)
     assert not world.row.debt
+
+
+def test_entry_cut_off_from_the_coordinator_gets_leases_through_others():
+    world = settled_world(rules=Rules())
+    coordinator, _, _, entry = _roles(world)
+    version = world.row.version
+    world.cut(coordinator, entry)
+    for _ in range(60):
+        world.run(STEP)
+        assert world.routed_by(entry, 0) == "s0"
+    assert world.row.version == version
