--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -8,11 +8,13 @@
 
 # Each command is the function of its name in the module that is named here.
 COMMANDS = {
+    "bench": "..measures.bench_command",
     "check": ".check",
     "diff": ".diff",
     "entry": ".entry",
     "explain": ".explain",
     "faults": "..faults.command",
+    "measure": "..measures.command",
     "publish": ".publish",
     "rollback": ".rollback",
     "standin": ".standin",
--- a/laburnumhatch/membership/tests/test_target_record.py
+++ b/laburnumhatch/membership/tests/test_target_record.py
@@ -57,6 +57,17 @@
             assert record.state is TargetState.LEAVING
 
 
+@given(st.lists(st.tuples(st.sampled_from([*HEALTHY, Signal.REFUSED]), steps), max_size=30))
+def test_drained_target_that_closed_its_port_is_not_ready_by_a_kept_connection(after):
+    now = timedelta(seconds=100)
+    record = apply_signal(TargetRecord(), Signal.DRAINING, now)
+    for signal, step in after:
+        now += step
+        if signal is not Signal.HEALTH_STARTING and now < timedelta(seconds=110):
+            record = apply_signal(record, signal, now)
+            assert record.state is not TargetState.READY
+
+
 @given(events)
 def test_refused_connection_and_repeated_silence_end_new_work_at_once(history):
     record, now = replay(history)
@@ -138,6 +149,18 @@
     assert apply_signal(withdrawn, Signal.SILENCE, now).state is TargetState.READY
 
 
+@pytest.mark.parametrize("state", [TargetState.STARTING, TargetState.READY])
+@pytest.mark.parametrize(
+    "signals", [[Signal.DRAINING], [Signal.DRAINING, Signal.REFUSED], [Signal.SILENCE] * 2]
+)
+def test_report_of_health_does_not_shorten_the_hold(signals, state):
+    record, now = replay([(signal, STEP) for signal in signals])
+    reported, _ = replay([(("p", state, 1), STEP)], record, now)
+    assert reported.state is not TargetState.READY
+    if signals == [Signal.DRAINING]:
+        assert reported.state is TargetState.LEAVING
+
+
 def test_own_answers_outweigh_a_report_of_absence():
     now = timedelta(seconds=100)
     record = apply_signal(TargetRecord(), Signal.ANSWER, now)
