Wait at the drain for claims that outlast their requests

Cause: a claim that goes on after its request's deadline was not counted as work left to do, so an instance could stop between claiming a key and settling it as not run. The test of the drain's wait looked in the same turn of the loop and passed as well without one of the two checks of idleness. Ruled out: cancelling the claim at the drain, which leaves its outcome unknown. Change: such a claim runs as work aside; both tests let the loop run before they look.

--- a/laburnumhatch/requests/exchange.py
+++ b/laburnumhatch/requests/exchange.py
@@ -1,13 +1,15 @@
 """One caller's request, from its header to its final answer."""
 
+from collections.abc import Coroutine
 from datetime import timedelta
+from typing import Any
 
 import logbook
 import xxhash
 from twisted.internet.defer import Deferred
-from twisted.python.failure import Failure
 
 from ..clocks import Cancellable
+from ..platform import Table
 from ..results import Refusal, ResultCode, Run
 from ..routing import Match, RequestKind
 from .attempts import RequestAttempts
@@ -152,21 +154,26 @@
         claiming = claim_request(table, row_key, self._fingerprint(), self._id)
         # Only the wait ends with the request; the claim goes on, so that its outcome is known.
         claimed: Deferred[HeldClaim | Refusal] = Deferred()
-        Deferred.fromCoroutine(claiming).addBoth(self._claim_ended, claimed)
+        self._context.run_aside(self._claim_to_end(table, claiming, claimed))
         try:
             return await self._waits.wait(claimed)
         except Exception:
             return self._waits.interruption or Refusal(ResultCode.CLAIM_UNAVAILABLE)
 
-    def _claim_ended(
-        self, result: HeldClaim | Refusal | Failure, claimed: Deferred[HeldClaim | Refusal]
+    async def _claim_to_end(
+        self,
+        table: Table,
+        claiming: Coroutine[Any, Any, HeldClaim | Refusal],
+        claimed: Deferred[HeldClaim | Refusal],
     ) -> None:
-        if not claimed.called:
-            claimed.callback(result)
-        elif isinstance(result, HeldClaim):
-            assert self._context.claims is not None
-            given_up = settle_claim(self._context.claims, result, ClaimState.NOT_RUN, None)
-            self._context.run_aside(given_up)
+        result: HeldClaim | Refusal = Refusal(ResultCode.CLAIM_UNAVAILABLE)
+        try:
+            result = await claiming
+        finally:
+            if not claimed.called:
+                claimed.callback(result)
+            elif isinstance(result, HeldClaim):
+                await settle_claim(table, result, ClaimState.NOT_RUN, None)
 
     def _fingerprint(self) -> str:
         request, body = self._request, self._body
--- a/laburnumhatch/requests/tests/test_claims.py
+++ b/laburnumhatch/requests/tests/test_claims.py
@@ -10,6 +10,8 @@
 from ..claims import HeldClaim, claim_key, claim_request
 from .conftest import kind, until
 
+# Turns of the loop in which an instance that waits for nothing would be drained.
+TURNS = 100
 SET = kind("set", "PUT", repeatable=False)
 
 
@@ -111,6 +113,8 @@
     drained = bench.paths[0].drained()
     server.requests[0].answer()
     assert (await caller.answer()).status == 200
+    turns = iter(range(TURNS))
+    await until(lambda: next(turns, None) is None)
     assert not drained.called
     answered.callback(None)
     await drained
@@ -168,8 +172,14 @@
     await until(lambda: bench.paths[0].in_flight == 1)
     bench.clock.advance(SET.deadline)
     assert (await first.answer()).refusal[1] == "no"
+    bench.paths[0].stop_accepting()
+    drained = bench.paths[0].drained()
     table.write, table.read = write, read
+    turns = iter(range(TURNS))
+    await until(lambda: next(turns, None) is None)
+    assert not drained.called
     pending[0].callback(None)
+    await drained
     second.send("PUT", Idempotency_Key="k1")
     assert (await second.answer()).body == b"ok"
     assert len(server.requests) == 1
