Keep the daemon on one thread

Cause: the daemon ran three threads: numpy's linear algebra starts a pool, and the reactor resolves host names, IP numbers too, on threads. Ruled out: doing without numpy, which the planner's arrays need.

--- a/laburnumhatch/entry/daemon.py
+++ b/laburnumhatch/entry/daemon.py
@@ -12,6 +12,7 @@
 from ..settings import InstanceSettings
 from ..telemetry import JsonLineExporter, build_tracer_provider, start_logging
 from .instance import EntryInstance
+from .numeric_resolver import NumericResolver
 
 __all__ = ["run"]
 
@@ -34,6 +35,7 @@
     graceful shutdown; further signals change nothing.
     """
     reactor = _installed_reactor()
+    reactor.installNameResolver(NumericResolver())
     start_logging(settings.name)
     clock = ReactorClock(reactor, boot_seconds)
     provider = _start_tracing(settings, clock)
--- a/laburnumhatch/settings/instance.py
+++ b/laburnumhatch/settings/instance.py
@@ -11,6 +11,7 @@
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 IP_NUMBER = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$"
+IP_NUMBER_URL = r"^https?://[0-9]{1,3}(\.[0-9]{1,3}){3}(:[0-9]{1,5})?(/.*)?$"
 
 
 class ListenAddress(CheckedModel):
@@ -21,11 +22,11 @@
 
 
 class PlatformAddresses(CheckedModel):
-    """Base URLs of the platform's services."""
+    """Base URLs of the platform's services, with IP numbers for hosts."""
 
-    table: str
-    object_store: str
-    instance_list: str
+    table: str = Field(pattern=IP_NUMBER_URL)
+    object_store: str = Field(pattern=IP_NUMBER_URL)
+    instance_list: str = Field(pattern=IP_NUMBER_URL)
 
 
 class SeedInstance(CheckedModel):
