--- a/laburnumhatch/faults/scenarios.py
+++ b/laburnumhatch/faults/scenarios.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred, gatherResults
@@ -23,12 +24,16 @@
 FREEZE = timedelta(seconds=7)
 OUTAGE = timedelta(seconds=12)
 RACE_MS = 1000
+SLOW_MS = 3000
 AFTERMATH = timedelta(seconds=5)
 KEY = "rosa-0"
 WATCHED_SERVER = "booking-1"
 EXTRA_ENTRY = "entry-4"
 
 
+Run = Callable[[World], Awaitable[list[Verdict]]]
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """A failure and its verdicts.
@@ -47,7 +52,7 @@
     name: str
     failure: str
     checks_fencing: bool
-    run: Callable[[World], Awaitable[list[Verdict]]]
+    run: Run
 
 
 async def kill_owner(world: World) -> list[Verdict]:
@@ -91,53 +96,57 @@
     return [_served(world, start)]
 
 
-async def platform_outage(world: World) -> list[Verdict]:
-    """Take the platform down for longer than any lease."""
-    start = world.clock.now()
+def fail_platform(begin: Callable[[World], Awaitable[None]]) -> Run:
+    """Return a run in which the platform fails for longer than any lease."""
+
+    async def run(world: World) -> list[Verdict]:
+        start = world.clock.now()
+        await begin(world)
+        await world.pause(OUTAGE)
+        end = world.clock.now()
+        await world.platform_down(False)
+        await world.pause(AFTERMATH)
+        return [_served_unclaimed(world, start), claims_verdict(world.traffic.calls, start, end)]
+
+    return run
+
+
+def lose_in_outage(find_loss: Callable[[World], Awaitable[Callable[[], None]]]) -> Run:
+    """Return a run in which a process is lost while the platform is down."""
+
+    async def run(world: World) -> list[Verdict]:
+        lose = await find_loss(world)
+        await world.platform_down(True)
+        await world.pause(CALM)
+        lose()
+        await world.pause(OUTAGE)
+        restored = world.clock.now()
+        await world.platform_down(False)
+        await world.pause(AFTERMATH)
+        return [_served(world, restored, "served again after the outage")]
+
+    return run
+
+
+async def take_platform_down(world: World) -> None:
+    """Let every call to the platform fail."""
     await world.platform_down(True)
-    await world.pause(OUTAGE)
-    end = world.clock.now()
-    await world.platform_down(False)
-    await world.pause(AFTERMATH)
-    return [_served_unclaimed(world, start), claims_verdict(world.traffic.calls, start, end)]
 
 
-async def platform_slow(world: World) -> list[Verdict]:
-    """Make every call to the platform take longer than its timeout."""
-    start = world.clock.now()
-    slow = {"slow_ms": 3000}
+async def slow_platform_down(world: World) -> None:
+    """Let every call to the platform take longer than its timeout."""
+    slow = {"slow_ms": SLOW_MS}
     await world.platform_faults(table=slow, objects=slow, instances=slow)
-    await world.pause(OUTAGE)
-    end = world.clock.now()
-    await world.platform_down(False)
-    await world.pause(AFTERMATH)
-    return [_served_unclaimed(world, start), claims_verdict(world.traffic.calls, start, end)]
 
 
-async def outage_and_coordinator(world: World) -> list[Verdict]:
-    """Kill the coordinator while the platform is down."""
-    coordinator = world.deployment.entries[await world.coordinator()]
-    await world.platform_down(True)
-    await world.pause(CALM)
-    coordinator.kill()
-    await world.pause(OUTAGE)
-    restored = world.clock.now()
-    await world.platform_down(False)
-    await world.pause(AFTERMATH)
-    return [_served(world, restored, "served again after the outage")]
+async def coordinator_loss(world: World) -> Callable[[], None]:
+    """Return what kills the coordinator."""
+    return world.deployment.entries[await world.coordinator()].kill
 
 
-async def outage_and_server(world: World) -> list[Verdict]:
-    """Kill a server that owns keys while the platform is down."""
-    owner = await _owner(world)
-    await world.platform_down(True)
-    await world.pause(CALM)
-    world.kill_server(OWNED_SERVICE, owner)
-    await world.pause(OUTAGE)
-    restored = world.clock.now()
-    await world.platform_down(False)
-    await world.pause(AFTERMATH)
-    return [_served(world, restored, "served again after the outage")]
+async def owner_loss(world: World) -> Callable[[], None]:
+    """Return what kills the server that owns a key."""
+    return partial(world.kill_server, OWNED_SERVICE, await _owner(world))
 
 
 async def lost_replies_and_server(world: World) -> list[Verdict]:
@@ -350,15 +359,22 @@
         False,
         freeze_coordinator,
     ),
-    Scenario("platform-outage", "platform down for 12 s", False, platform_outage),
-    Scenario("platform-slow", "platform slower than its timeout", False, platform_slow),
+    Scenario("platform-outage", "platform down for 12 s", False, fail_platform(take_platform_down)),
+    Scenario(
+        "platform-slow",
+        "platform slower than its timeout",
+        False,
+        fail_platform(slow_platform_down),
+    ),
     Scenario(
         "outage-and-coordinator",
         "platform down, then kill the coordinator",
         False,
-        outage_and_coordinator,
+        lose_in_outage(coordinator_loss),
+    ),
+    Scenario(
+        "outage-and-server", "platform down, then kill a server", False, lose_in_outage(owner_loss)
     ),
-    Scenario("outage-and-server", "platform down, then kill a server", False, outage_and_server),
     Scenario(
         "lost-replies-and-server",
         "kill a server while replies to table writes are lost",
