Split the fault runs by what fails

Cause: one module of 399 lines held losses, outages, departures and publications with their table. Ruled out: a class for each run; plain functions and closures serve. Change: a module for each kind of failure, one for what all of them watch, one for the table. No run is changed. Conclusion: a new failure goes into the module of its kind and one line of the table.

--- a/laburnumhatch/faults/command.py
+++ b/laburnumhatch/faults/command.py
@@ -14,7 +14,8 @@
 from ..clocks import Clock, ReactorClock, boot_seconds
 from ..standins.caller import Caller
 from ..standins.processes import ProcessGroup
-from .scenarios import SCENARIOS, Scenario
+from .scenario import Scenario
+from .scenarios import SCENARIOS
 from .verdict import Verdict, common_verdicts
 from .world import OWNED_SERVICE, open_world
 
--- /dev/null
+++ b/laburnumhatch/faults/losses.py
@@ -0,0 +1,68 @@
+"""Losses and freezes of servers and entry instances."""
+
+from datetime import timedelta
+
+from .verdict import Verdict
+from .watching import AFTERMATH, SERVED_AGAIN_WITHIN, owner_of_key, served_verdict
+from .world import OWNED_SERVICE, World
+
+__all__ = [
+    "freeze_coordinator",
+    "freeze_owner",
+    "kill_coordinator",
+    "kill_owner",
+    "lost_replies_and_server",
+]
+
+FREEZE = timedelta(seconds=7)
+
+
+async def kill_owner(world: World) -> list[Verdict]:
+    """Kill the server that owns a key."""
+    start = world.clock.now()
+    world.kill_server(OWNED_SERVICE, await owner_of_key(world))
+    await world.pause(AFTERMATH)
+    return [served_verdict(world, start)]
+
+
+async def freeze_owner(world: World) -> list[Verdict]:
+    """Freeze the server that owns a key, and let it return."""
+    start = world.clock.now()
+    server = world.server(OWNED_SERVICE, await owner_of_key(world))
+    server.freeze()
+    await world.pause(FREEZE)
+    server.thaw()
+    await world.pause(AFTERMATH)
+    return [served_verdict(world, start)]
+
+
+async def kill_coordinator(world: World) -> list[Verdict]:
+    """Kill the coordinator of the owned service."""
+    start = world.clock.now()
+    world.deployment.entries[await world.coordinator()].kill()
+    await world.pause(AFTERMATH)
+    return [served_verdict(world, start)]
+
+
+async def freeze_coordinator(world: World) -> list[Verdict]:
+    """Freeze the coordinator, lose a server meanwhile, and let the coordinator return."""
+    start = world.clock.now()
+    coordinator = world.deployment.entries[await world.coordinator()]
+    owner = await owner_of_key(world)
+    coordinator.freeze()
+    await world.pause(SERVED_AGAIN_WITHIN)
+    world.kill_server(OWNED_SERVICE, owner)
+    await world.pause(FREEZE - SERVED_AGAIN_WITHIN)
+    coordinator.thaw()
+    await world.pause(AFTERMATH)
+    return [served_verdict(world, start)]
+
+
+async def lost_replies_and_server(world: World) -> list[Verdict]:
+    """Lose the replies to the table's writes while a server is lost."""
+    start = world.clock.now()
+    owner = await owner_of_key(world)
+    await world.platform_faults(table={"lost_replies": 2})
+    world.kill_server(OWNED_SERVICE, owner)
+    await world.pause(AFTERMATH)
+    return [served_verdict(world, start)]
--- /dev/null
+++ b/laburnumhatch/faults/publications.py
@@ -0,0 +1,76 @@
+"""Publications under failure."""
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from ..commands.exit_codes import ExitCode
+from .verdict import Verdict
+from .watching import CALM, IN_FORCE_WITHIN, has_version, version_of
+from .world import ENTRIES, World
+
+__all__ = ["frozen_entry_and_publish", "publish_with_lost_reply", "racing_publishers"]
+
+RACE_MS = 1000
+EXTRA_ENTRY = "entry-4"
+
+
+async def publish_with_lost_reply(world: World) -> list[Verdict]:
+    """Lose the reply to the write that puts a configuration into force."""
+    await world.platform_faults(table={"lost_replies": 1})
+    start = world.clock.now()
+    command = await world.publish_changed(2.0)
+    took = world.clock.now() - start
+    versions = [await version_of(world, name) for name in ENTRIES]
+    everywhere = command.exit_code == 0 and len(set(versions)) == 1 and versions[0] >= 2
+    return [
+        Verdict(
+            "in force everywhere within seconds",
+            f"{IN_FORCE_WITHIN.total_seconds():g} s",
+            f"{took.total_seconds():.2f} s, versions {versions}, exit {command.exit_code}",
+            everywhere and took <= IN_FORCE_WITHIN,
+        )
+    ]
+
+
+async def racing_publishers(world: World) -> list[Verdict]:
+    """Publish two different changes at the same time."""
+    base = ("--expected-version", str(await version_of(world, ENTRIES[0])))
+    # Slow enough that both may read the same version before either writes.
+    await world.platform_faults(table={"slow_ms": RACE_MS})
+    commands = [
+        Deferred.fromCoroutine(world.publish_changed(weight, *base)) for weight in (2.0, 3.0)
+    ]
+    codes = sorted(child.exit_code or 0 for child in await gatherResults(commands))
+    versions = [await version_of(world, name) for name in ENTRIES]
+    held = codes == [0, int(ExitCode.CONFLICT)] and len(set(versions)) == 1
+    return [
+        Verdict(
+            "one of two racing publishers wins",
+            f"exits 0 and {int(ExitCode.CONFLICT)}",
+            f"exits {codes}, versions {versions}",
+            held,
+        )
+    ]
+
+
+async def frozen_entry_and_publish(world: World) -> list[Verdict]:
+    """Freeze an entry instance, publish, and let it return."""
+    entry = world.deployment.entries[EXTRA_ENTRY]
+    before = await version_of(world, EXTRA_ENTRY)
+    entry.freeze()
+    await world.publish_changed(4.0)
+    entry.thaw()
+    start = world.clock.now()
+    await world.wait(lambda: has_version(world, EXTRA_ENTRY, before + 1), "version")
+    took = world.clock.now() - start
+    await world.pause(CALM)
+    await version_of(world, EXTRA_ENTRY)
+    falling = [n for n, seen in world.samples.items() if seen != sorted(seen)]
+    return [
+        Verdict("a configuration never reverts", "none", f"{len(falling)} fell", not falling),
+        Verdict(
+            "in force everywhere within seconds",
+            f"{IN_FORCE_WITHIN.total_seconds():g} s",
+            f"{took.total_seconds():.2f} s after the return",
+            took <= IN_FORCE_WITHIN,
+        ),
+    ]
