Log refused requests with trace, result code and run

Ruled out: a line for every request, which costs processor time on the path that is bounded; no bound, since an overload would then pay for its log as well. Conclusion: a caller's refusal can be found in the logs by its trace.

--- a/laburnumhatch/requests/context.py
+++ b/laburnumhatch/requests/context.py
@@ -24,6 +24,7 @@
 from .connections import TargetConnections
 from .history import HistoryHook
 from .metrics import RequestMetrics
+from .refusal_log import build_refusal_log
 from .relay import DiscardedAnswer
 from .retry import RetryBudget
 from .target_queue import TargetQueue
@@ -83,6 +84,7 @@
         self.tracer = tracer
         self.history = history
         self.work_done = work_done
+        self.log_refusal = build_refusal_log(clock)
         self.random = random_source
         self.is_stopping = False
         self.exchanges: set[object] = set()
--- a/laburnumhatch/requests/exchange.py
+++ b/laburnumhatch/requests/exchange.py
@@ -248,5 +248,5 @@
         if refusal is None:
             context.metrics.observe_latency(service, kind, context.clock.now() - self._started)
         else:
-            _log.debug("request {} was refused: {}", self._id, code.title)
+            context.log_refusal(refusal, trace_id_of(self._span), self._id, service, kind)
         end_span(self._span, service=service, kind=kind, code=code.number, request_id=self._id)
--- /dev/null
+++ b/laburnumhatch/requests/refusal_log.py
@@ -0,0 +1,60 @@
+"""Log lines of refused requests, bounded in number."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import logbook
+
+from ..clocks import Clock
+from ..results import Refusal
+
+__all__ = ["LogRefusal", "build_refusal_log"]
+
+LINES_PER_INTERVAL = 20
+INTERVAL = timedelta(seconds=1)
+
+_log = logbook.Logger("laburnumhatch.requests")
+
+# Takes the refusal, the trace's identifier, the request's, the service and the kind.
+LogRefusal = Callable[[Refusal, str, str, str, str], None]
+
+
+def build_refusal_log(clock: Clock) -> LogRefusal:
+    """Return a function that logs refusals with trace, result code and run.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Notes
+    -----
+    At most 20 lines are written a second, so that an overload costs no more for its log; the next
+    line says how many were left out.
+    """
+    began = clock.now()
+    written = left_out = 0
+
+    def log_refusal(
+        refusal: Refusal, trace_id: str, request_id: str, service: str, kind: str
+    ) -> None:
+        nonlocal began, written, left_out
+        now = clock.now()
+        if now - began >= INTERVAL:
+            began, written = now, 0
+        if written >= LINES_PER_INTERVAL:
+            left_out += 1
+            return
+        written += 1
+        fields = {
+            "trace": trace_id,
+            "request": request_id,
+            "service": service,
+            "kind": kind,
+            "code": refusal.code.number,
+            "run": refusal.effective_run.value,
+            "left_out": left_out,
+        }
+        left_out = 0
+        _log.info("refused: {}: {}", refusal.code.title, refusal.detail, extra=fields)
+
+    return log_refusal
