Split the tests of the request path by module

Cause: one test file of 486 lines covered the path, the attempts and the streaming. Ruled out: shortening it by dropping cases.

--- /dev/null
+++ b/laburnumhatch/requests/tests/test_relay.py
@@ -0,0 +1,89 @@
+"""Tests of back-pressure and cut bodies while a request streams."""
+
+import pytest_twisted
+
+from .conftest import kind, until
+
+VIEW = kind("view", "GET")
+
+
+class _Film:
+    """Pull producer that counts what it wrote."""
+
+    def __init__(self, transport, size):
+        self.transport, self.left, self.written = transport, size, 0
+        transport.registerProducer(self, False)
+
+    def resumeProducing(self):
+        chunk = min(65_536, self.left)
+        if not chunk:
+            self.transport.unregisterProducer()
+            return
+        self.left -= chunk
+        self.written += chunk
+        self.transport.write(b"x" * chunk)
+
+    def stopProducing(self):
+        pass
+
+
+async def _until_it_stalls(film):
+    seen, turns = -1, 0
+    while turns < 200:
+        turns = turns + 1 if film.written == seen else 0
+        seen = film.written
+        await until(iter([False, True]).__next__)
+
+
+FILM = 32 * 2**20
+
+
+@pytest_twisted.ensureDeferred
+async def test_slow_reader_holds_the_upstream_back(bench):
+    server = bench.server("media-1")
+    bench.route(VIEW)
+    films = []
+
+    def play(sent):
+        sent.answer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % FILM)
+        films.append(_Film(sent.connection.transport, FILM))
+
+    server.script = [play]
+    caller = await bench.caller()
+    caller.transport.pauseProducing()
+    caller.send()
+    await until(lambda: films)
+    await _until_it_stalls(films[0])
+    assert films[0].written < FILM / 2
+    caller.transport.resumeProducing()
+    assert len((await caller.answer()).body) == FILM
+
+
+@pytest_twisted.ensureDeferred
+async def test_slow_upstream_holds_an_upload_back(bench):
+    server = bench.server("media-1")
+    server.paused = True
+    bench.route(kind("store", "PUT", body_limit=FILM))
+    server.script = [lambda sent: sent.answer()]
+    caller = await bench.caller()
+    caller.send("PUT", Content_Length=FILM)
+    film = _Film(caller.transport, FILM)
+    await until(lambda: server.connections)
+    await _until_it_stalls(film)
+    assert film.written < FILM / 2
+    server.connections[0].transport.resumeProducing()
+    assert (await caller.answer()).body == b"ok"
+    assert len(server.requests[0].body) == FILM
+
+
+@pytest_twisted.ensureDeferred
+async def test_upload_that_breaks_off_is_not_whole_at_the_upstream(bench):
+    server = bench.server("media-1")
+    bench.route(kind("store", "PUT"))
+    caller = await bench.caller()
+    caller.send("PUT", Transfer_Encoding="chunked")
+    caller.transport.write(b"4\r\nhalf\r\n")
+    await until(lambda: server.connections and b"half" in server.connections[0].buffer)
+    caller.transport.abortConnection()
+    await until(lambda: server.connections[0].lost)
+    assert not server.connections[0].buffer.endswith(b"0\r\n\r\n")
