--- /dev/null
+++ b/laburnumhatch/clocks/duration_text.py
@@ -0,0 +1,39 @@
+"""Durations as text: a number and its unit, ``1500ms`` or ``2.5s``."""
+
+import re
+from datetime import timedelta
+
+__all__ = ["format_duration", "parse_duration"]
+
+_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+
+
+def parse_duration(text: object) -> timedelta:
+    """Return the duration that a text holds.
+
+    Raises
+    ------
+    ValueError
+        If it holds none.
+
+    Examples
+    --------
+    >>> parse_duration("1500ms"), parse_duration("2.5s")
+    (datetime.timedelta(seconds=1, microseconds=500000), datetime.timedelta(seconds=2, microseconds=500000))
+    """  # noqa: E501
+    found = _PATTERN.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"not a duration: {text!r}")
+    number = float(found[1])
+    return timedelta(milliseconds=number if found[2] == "ms" else number * 1000)
+
+
+def format_duration(duration: timedelta) -> str:
+    """Return the text of a duration, in whole milliseconds.
+
+    Examples
+    --------
+    >>> format_duration(timedelta(seconds=4))
+    '4000ms'
+    """
+    return f"{duration // timedelta(milliseconds=1)}ms"
--- a/laburnumhatch/commands/admin_client.py
+++ b/laburnumhatch/commands/admin_client.py
@@ -5,8 +5,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from ..platform import HttpClient
-from ..platform.http import HttpAnswer
+from ..storage import HttpClient
+from ..storage.http import HttpAnswer
 
 __all__ = ["AdminAddress", "AdminAnswer", "Unanswered", "ask_admin"]
 
--- a/laburnumhatch/commands/admin_option.py
+++ b/laburnumhatch/commands/admin_option.py
@@ -7,8 +7,8 @@
 import click
 
 from ..clocks import ReactorClock, boot_seconds
-from ..platform import HttpClient, Unavailable
 from ..settings import InstanceSettings
+from ..storage import HttpClient, Unavailable
 from .admin_client import AdminAddress, AdminAnswer, Unanswered, ask_admin
 from .arguments import PlatformClients, fail, read_settings, settings_option
 from .coroutines import run_on_reactor
--- a/laburnumhatch/commands/arguments.py
+++ b/laburnumhatch/commands/arguments.py
@@ -9,8 +9,8 @@
 
 from ..clocks import Clock, ReactorClock, boot_seconds
 from ..configuration import CollectedFile, CollectionError, collect
-from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
 from ..settings import DocumentError, InstanceSettings, PlatformAddresses, read_document
+from ..storage import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
 from .exit_codes import ExitCode
 
 __all__ = [
--- a/laburnumhatch/commands/standin.py
+++ b/laburnumhatch/commands/standin.py
@@ -9,7 +9,6 @@
 from twisted.internet import reactor
 
 from ..clocks import ReactorClock, boot_seconds, milliseconds
-from ..platform import ListedInstance
 from ..routing import RoutingFile, Service, service_from_file
 from ..settings import DocumentError, read_document
 from ..standins import (
@@ -24,6 +23,7 @@
     run_apps,
     second_segment,
 )
+from ..storage import ListedInstance
 from .arguments import fail
 from .exit_codes import ExitCode
 
--- a/laburnumhatch/configuration/compare.py
+++ b/laburnumhatch/configuration/compare.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from ..clocks import Clock
-from ..platform import ObjectStore, Table
 from ..routing import RoutingFile
+from ..storage import ObjectStore, Table
 from .outcome import PublishFailed
 from .put_into_force import read_publication
 from .snapshot import files_of, snapshot_digest, snapshot_name
--- a/laburnumhatch/configuration/follower.py
+++ b/laburnumhatch/configuration/follower.py
@@ -12,8 +12,8 @@
 from ..clocks import Cancellable, Clock, milliseconds
 from ..links.interfaces import ManagedLinks
 from ..membership.interfaces import Instance, InstanceView
-from ..platform import Absent, ObjectStore, Row, Table, Unavailable
 from ..routing import Snapshot
+from ..storage import Absent, ObjectStore, Row, Table, Unavailable
 from .exchange import SnapshotExchange
 from .messages import ConfigurationAnnouncement
 from .pollers import polls_table
--- a/laburnumhatch/configuration/in_force.py
+++ b/laburnumhatch/configuration/in_force.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred, DeferredList
 
 from ..clocks import Clock, milliseconds
-from ..platform import HttpClient, InstanceList, ListedInstance, Unavailable
-from ..platform.http import HttpAnswer
+from ..storage import HttpClient, InstanceList, ListedInstance, Unavailable
+from ..storage.http import HttpAnswer
 from .pause import pause
 
 __all__ = ["InForce", "Laggard", "NotInForce", "await_in_force", "http_reported_version"]
--- a/laburnumhatch/configuration/publication.py
+++ b/laburnumhatch/configuration/publication.py
@@ -4,8 +4,8 @@
 
 from pydantic import Field, ValidationError
 
-from ..platform import Row
 from ..settings import CheckedModel
+from ..storage import Row
 
 __all__ = [
     "CONFIGURATION_ROW",
--- a/laburnumhatch/configuration/publish.py
+++ b/laburnumhatch/configuration/publish.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from ..clocks import Clock
-from ..platform import ObjectStore, Table, Written
 from ..routing import RoutingFile
+from ..storage import ObjectStore, Table, Written
 from .outcome import PublishFailed, PublishOutcome, VersionUnknown
 from .pause import pause
 from .put_into_force import (
--- a/laburnumhatch/configuration/put_into_force.py
+++ b/laburnumhatch/configuration/put_into_force.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..clocks import Clock, milliseconds
-from ..platform import Absent, Conflict, OutcomeUnknown, Row, Table, Unavailable, Written
+from ..storage import Absent, Conflict, OutcomeUnknown, Row, Table, Unavailable, Written
 from .outcome import (
     PublishConflict,
     Published,
--- a/laburnumhatch/configuration/tests/test_compare.py
+++ b/laburnumhatch/configuration/tests/test_compare.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ...platform import InstanceState, ListedInstance
+from ...storage import InstanceState, ListedInstance
 from ..compare import Change, ChangeKind, Comparison, compare
 from ..in_force import InForce, Laggard, NotInForce, await_in_force
 from .conftest import run
--- a/laburnumhatch/configuration/tests/test_follower.py
+++ b/laburnumhatch/configuration/tests/test_follower.py
@@ -6,9 +6,9 @@
 
 from ...conftest import FakeClock
 from ...membership import Instance
-from ...platform import Row
-from ...platform.memory import MemoryObjectStore, MemoryTable
 from ...routing import RoutingFile
+from ...storage import Row
+from ...storage.memory import MemoryObjectStore, MemoryTable
 from ..messages import ConfigurationAnnouncement
 from ..pollers import polls_table
 from ..publication import CONFIGURATION_ROW, Publication, encode_publication
--- a/laburnumhatch/configuration/tests/test_publish.py
+++ b/laburnumhatch/configuration/tests/test_publish.py
@@ -3,8 +3,8 @@
 import pytest
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from ...platform import OutcomeUnknown
-from ...platform.memory import MemoryTable
+from ...storage import OutcomeUnknown
+from ...storage.memory import MemoryTable
 from ..outcome import PublishConflict, Published, PublishFailed, PublishUnknown, VersionUnknown
 from ..publication import CONFIGURATION_ROW
 from ..publish import publish, rollback
--- a/laburnumhatch/conftest.py
+++ b/laburnumhatch/conftest.py
@@ -7,9 +7,9 @@
 from twisted.internet import reactor, task
 
 from .clocks import ReactorClock, boot_seconds
-from .platform.memory import MemoryInstanceList, MemoryObjectStore, MemoryTable
 from .standins.caller import Caller
 from .standins.processes import ProcessGroup
+from .storage.memory import MemoryInstanceList, MemoryObjectStore, MemoryTable
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.load_profile("repeatable")
--- /dev/null
+++ b/laburnumhatch/coordination/leader.py
@@ -0,0 +1,334 @@
+"""The leader's work: leases of keys, their record in the store, and news to the others."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from typing import Protocol
+
+import logbook
+from twisted.internet.defer import Deferred
+
+from ..clocks import Clock, milliseconds
+from ..fleet import Upstream, UpstreamLife
+from ..keyspace import (
+    CallResult,
+    GrantOrder,
+    LeaseTiming,
+    OwnershipMap,
+    RangeLease,
+    ReleaseOrder,
+    ServiceLeases,
+    decode_record,
+    encode_record,
+    record_of,
+)
+from ..keyspace.effects import GrantRefused, NoAnswer, TargetGone
+from ..keyspace.lease import next_order, note_result, note_sent, note_written
+from ..keyspace.service_leases import (
+    adopt_record,
+    assign_all,
+    merge_neighbours,
+    ownership_map,
+    rebalance,
+    replace_unusable_owners,
+)
+from ..placement.choice import usual_service_time
+from ..placement.loads import LoadBoard
+from .leadership import Leadership
+from .store import Expectation, NewRow, StoredRow
+
+__all__ = ["Leader", "OrderSender"]
+
+# Between two looks at what is due.
+TICK = milliseconds(50)
+REBALANCE_INTERVAL = milliseconds(400)
+# Time for the first upstreams to register before keys get their first owners.
+FIRST_ASSIGNMENT_DELAY = milliseconds(800)
+# Time for which an upstream that refused a connection gets no keys.
+UNREACHABLE_FOR = milliseconds(1500)
+# Silence of the store after which grants get the longest hold.
+STORE_SILENCE = milliseconds(1100)
+# Factor on the capacity of an upstream that says that it is still slow from its start.
+WARMUP_CAPACITY = 0.5
+
+_log = logbook.Logger("laburnumhatch.leader")
+
+
+class OrderSender(Protocol):
+    """Sends orders to upstreams."""
+
+    async def send(
+        self,
+        order: GrantOrder | ReleaseOrder,
+        address: tuple[str, int],
+        timeout: timedelta,
+        may_send: Callable[[], bool],
+    ) -> CallResult:
+        """Return what came of an order; `may_send` is asked immediately before it goes out."""
+
+
+class Leader:
+    """Leases of all keyed services while this member leads.
+
+    Parameters
+    ----------
+    clock : Clock
+    leadership : Leadership
+    sender : OrderSender
+    board : LoadBoard
+    addresses : mapping of UpstreamLife to (str, int)
+        Where each life of an upstream was last known.
+    on_map : callable
+        Takes each `OwnershipMap` that changed.
+    on_change : callable
+        Called when there is something to write.
+    timing : LeaseTiming
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        leadership: Leadership,
+        sender: OrderSender,
+        board: LoadBoard,
+        addresses: Mapping[UpstreamLife, tuple[str, int]],
+        on_map: Callable[[OwnershipMap], None],
+        on_change: Callable[[], None],
+        timing: LeaseTiming,
+    ) -> None:
+        self._clock = clock
+        self._leadership = leadership
+        self._sender = sender
+        self._board = board
+        self._addresses = addresses
+        self._on_map = on_map
+        self._on_change = on_change
+        self._timing = timing
+        self._upstreams: Mapping[str, Upstream] = {}
+        self._unreachable: dict[UpstreamLife, timedelta] = {}
+        self._told: dict[str, tuple[object, ...]] = {}
+        self._rebalanced = timedelta()
+        self._is_stopped = False
+        self._tick_is_due = False
+        self._source = random.Random()
+        self.services: dict[str, ServiceLeases] = {}
+
+    def start(self, rows: Iterable[StoredRow]) -> None:
+        """Take over what the store records, and begin."""
+        now = self._clock.now()
+        for row in rows:
+            leases = ServiceLeases(row.key, row_version=row.version)
+            try:
+                adopt_record(leases, decode_record(row.value), self._timing, now)
+            except ValueError as e:
+                _log.error("the record of service {} can't be read: {}", row.key, e)
+                continue
+            self.services[row.key] = leases
+        _log.info("leads with {} recorded services", len(self.services))
+        self._tick()
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._is_stopped = True
+
+    def follow(self, services: Iterable[str], upstreams: Mapping[str, Upstream]) -> None:
+        """Take the keyed services and the upstreams that are known now."""
+        for service in services:
+            self.services.setdefault(service, ServiceLeases(service))
+        self._upstreams = upstreams
+        self.soon()
+
+    def count_key(self, service: str, key: int, requests: int) -> None:
+        """Count requests for a key."""
+        leases = self.services.get(service)
+        if leases is not None:
+            leases.count(key, requests, self._clock.now())
+
+    def soon(self) -> None:
+        """Look at what is due in the loop's next round."""
+        if not self._tick_is_due and not self._is_stopped:
+            self._tick_is_due = True
+            self._clock.call_later(timedelta(), self._look)
+
+    def rows_to_write(self) -> tuple[list[Expectation], list[NewRow], dict[str, int]]:
+        """Return what a write has to expect and to hold, and the changes that it covers."""
+        expected, rows, covered = [], [], {}
+        for leases in self.services.values():
+            if leases.is_dirty:
+                record = record_of(leases.last_fence, leases.leases)
+                expected.append(Expectation("keys", leases.service, leases.row_version))
+                rows.append(NewRow("keys", leases.service, encode_record(record)))
+                covered[leases.service] = leases.changes
+        return expected, rows, covered
+
+    def note_written(self, covered: Mapping[str, int], version: int) -> None:
+        """Go on with the changes that are in the store now."""
+        now = self._clock.now()
+        for service, changes in covered.items():
+            leases = self.services[service]
+            leases.row_version = version
+            leases.written = max(leases.written, changes)
+            if not leases.is_dirty:
+                for lease in leases.leases:
+                    note_written(lease, now)
+        if covered:
+            self.soon()
+
+    def note_row_version(self, service: str, version: int) -> None:
+        """Take the version of a service's row as the store showed it."""
+        if service in self.services:
+            self.services[service].row_version = version
+
+    def _tick(self) -> None:
+        if self._is_stopped:
+            return
+        self._look()
+        self._clock.call_later(TICK, self._tick)
+
+    def _look(self) -> None:
+        self._tick_is_due = False
+        if self._is_stopped:
+            return
+        now = self._clock.now()
+        was_dirty = any(leases.is_dirty for leases in self.services.values())
+        for leases in self.services.values():
+            self._update_owners(leases, now)
+        if now - self._rebalanced >= REBALANCE_INTERVAL:
+            self._rebalanced = now
+            for leases in self.services.values():
+                self._rebalance(leases, now)
+        for leases in self.services.values():
+            self._tell(leases)
+            self._send_due(leases, now)
+        if not was_dirty and any(leases.is_dirty for leases in self.services.values()):
+            self._on_change()
+
+    def _usable(self, service: str, now: timedelta) -> dict[UpstreamLife, Upstream]:
+        return {
+            upstream.life: upstream
+            for upstream in self._upstreams.values()
+            if upstream.service == service
+            and not upstream.is_draining
+            and self._unreachable.get(upstream.life, now) <= now
+        }
+
+    def _update_owners(self, leases: ServiceLeases, now: timedelta) -> None:
+        usable = self._usable(leases.service, now)
+        if not usable:
+            return
+        if not leases.leases:
+            if leases.first_seen is None:
+                leases.first_seen = now
+            if now - leases.first_seen >= FIRST_ASSIGNMENT_DELAY:
+                assign_all(leases, list(usable.values()))
+                _log.info("first owners of {}: {} upstreams", leases.service, len(usable))
+            return
+        lives = {upstream.name: upstream.life for upstream in self._upstreams.values()}
+        moves = replace_unusable_owners(
+            leases, usable, lives, lambda name: self._board.of(name).answered_at, now
+        )
+        for move in moves:
+            _log.info(
+                "keys {}-{} of {} leave their owner for {}",
+                move.first,
+                move.last,
+                leases.service,
+                move.to.name,
+            )
+
+    def _rebalance(self, leases: ServiceLeases, now: timedelta) -> None:
+        if leases.is_dirty or not leases.leases or not self._leadership.has_authority(now):
+            return
+        usable = self._usable(leases.service, now)
+        usual = usual_service_time(self._board.of(u.name) for u in usable.values())
+        capacities = {}
+        for life, upstream in usable.items():
+            load = self._board.of(upstream.name)
+            capacity = upstream.slots / (load.service_s or usual)
+            if upstream.warmup_left:
+                capacity *= WARMUP_CAPACITY
+            capacities[life] = capacity * (1.0 - min(0.8, load.declined_share(now)))
+        if len(capacities) > 1:
+            for move in rebalance(leases, capacities, now):
+                _log.info(
+                    "keys {}-{} of {} go to {} for balance",
+                    move.first,
+                    move.last,
+                    leases.service,
+                    move.to.name,
+                )
+        merge_neighbours(leases, len(usable), now)
+
+    def _tell(self, leases: ServiceLeases) -> None:
+        found = ownership_map(leases)
+        if self._told.get(leases.service) != found.ranges:
+            leases.map_version += 1
+            self._told[leases.service] = found.ranges
+            self._on_map(ownership_map(leases))
+
+    def _send_due(self, leases: ServiceLeases, now: timedelta) -> None:
+        if not self._leadership.has_authority(now):
+            return
+        hold = self._timing.hold
+        if now - self._leadership.renewed > STORE_SILENCE:
+            hold = self._timing.longest_hold
+        for lease in leases.leases:
+            order = next_order(lease, hold, self._timing, now)
+            if order is not None:
+                self._send(leases, lease, order)
+
+    def _send(
+        self, leases: ServiceLeases, lease: RangeLease, order: GrantOrder | ReleaseOrder
+    ) -> None:
+        address = self._addresses.get(order.to)
+        lease.in_flight = True
+        if address is None:
+            self._take_result(leases, lease, order, lease.epoch, self._clock.now(), NoAnswer(True))
+            return
+        epoch = lease.epoch
+        sent = [self._clock.now()]
+
+        def may_send() -> bool:
+            now = self._clock.now()
+            allowed = lease.epoch == epoch and self._leadership.has_authority(now)
+            if allowed and not self._is_stopped:
+                sent[0] = now
+                note_sent(lease, order, self._timing, now)
+                return True
+            return False
+
+        is_release = isinstance(order, ReleaseOrder)
+        timeout = self._timing.release_timeout if is_release else self._timing.order_timeout
+        calling = Deferred.fromCoroutine(self._sender.send(order, address, timeout, may_send))
+        calling.addCallback(
+            lambda result: self._take_result(leases, lease, order, epoch, sent[0], result)
+        )
+        calling.addErrback(lambda f: _log.error("an order failed: {}", f.getTraceback()))
+
+    def _take_result(
+        self,
+        leases: ServiceLeases,
+        lease: RangeLease,
+        order: GrantOrder | ReleaseOrder,
+        epoch: int,
+        sent: timedelta,
+        result: CallResult,
+    ) -> None:
+        now = self._clock.now()
+        if isinstance(result, TargetGone):
+            self._unreachable[order.to] = now + UNREACHABLE_FOR
+            _log.info("upstream {} is gone: nothing listens there", order.to.name)
+        elif isinstance(result, GrantRefused):
+            _log.warning(
+                "upstream {} refused token {} for keys {}-{}",
+                order.to.name,
+                order.fence,
+                order.first,
+                order.last,
+            )
+        if lease.epoch != epoch:
+            # The range has another owner or phase since; what was sent is in `held_until`.
+            return
+        note_result(lease, order, result, sent, leases.take_fences, self._timing, now)
+        self.soon()
--- /dev/null
+++ b/laburnumhatch/coordination/leadership.py
@@ -0,0 +1,153 @@
+"""Who leads, by one row of the shared store."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+
+from ..clocks import milliseconds
+from .store import StoredRow
+
+__all__ = ["LeaderRecord", "Leadership", "LeadershipTiming", "decode_leader", "encode_leader"]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderRecord:
+    """The leader as the store names it.
+
+    Attributes
+    ----------
+    member : str
+        Name of the instance and of its start, ``NAME/BOOT``.
+    host : str
+        IP number.
+    port : int
+        Of its streams.
+    term : int
+        Grows with each change of leader.
+    has_resigned : bool
+        Whether it has sent its last order, so that nobody has to wait for it.
+    write : int
+        Number of the member's write, by which it knows one whose answer was lost.
+    """
+
+    member: str
+    host: str
+    port: int
+    term: int
+    has_resigned: bool
+    write: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LeadershipTiming:
+    """Times of leadership.
+
+    Attributes
+    ----------
+    authority : timedelta
+        How long a leader may act after it sent its last renewal that was acknowledged. Shorter
+        than a lease, so that a successor renews the leases before they end.
+    renew_interval : timedelta
+    margin : timedelta
+        What a successor waits beyond the authority, for clocks that differ in rate.
+    look_interval : timedelta
+        Between two looks at the row where the leader isn't heard.
+    """
+
+    authority: timedelta = milliseconds(1800)
+    renew_interval: timedelta = milliseconds(450)
+    margin: timedelta = milliseconds(100)
+    look_interval: timedelta = milliseconds(350)
+
+
+class Leadership:
+    """What a member knows of the leader's row.
+
+    Attributes
+    ----------
+    row : StoredRow or None
+        As last seen; None before the first look and where it is absent.
+    record : LeaderRecord or None
+        Its content; None where there is none or it can't be read.
+    is_leader : bool
+        Whether this member wrote the row.
+    renewed : timedelta
+        When the last write that was acknowledged was sent.
+    """
+
+    def __init__(self, member: str, timing: LeadershipTiming) -> None:
+        self._member = member
+        self._timing = timing
+        self._seen_at: timedelta | None = None
+        self.row: StoredRow | None = None
+        self.record: LeaderRecord | None = None
+        self.is_leader = False
+        self.renewed = timedelta(days=-1)
+
+    @property
+    def authority_end(self) -> timedelta:
+        """Instant up to which this member may act as the leader."""
+        return self.renewed + self._timing.authority
+
+    def has_authority(self, now: timedelta) -> bool:
+        """Return whether this member may act as the leader now."""
+        return self.is_leader and now < self.authority_end
+
+    def saw(self, row: StoredRow | None, now: timedelta) -> None:
+        """Take the row as a read or a failed write showed it."""
+        if self._seen_at is not None and _version(row) <= _version(self.row):
+            return
+        self.row = row
+        self.record = decode_leader(row.value) if row is not None else None
+        self._seen_at = now
+        if self.is_leader and (self.record is None or self.record.member != self._member):
+            self.is_leader = False
+
+    def heard_renewal(self, version: int, now: timedelta) -> None:
+        """Take the leader's own word that it renewed the row as `version`."""
+        if self.row is not None and version > self.row.version:
+            self.row = StoredRow(self.row.key, self.row.value, version)
+            self._seen_at = now
+
+    def acknowledged(self, row: StoredRow, sent: timedelta, now: timedelta) -> None:
+        """Take a write of this member that took effect."""
+        self.row = row
+        self.record = decode_leader(row.value)
+        self._seen_at = now
+        self.is_leader = self.record is not None and not self.record.has_resigned
+        self.renewed = max(self.renewed, sent)
+
+    def may_take_over(self, now: timedelta) -> bool:
+        """Return whether the leader's authority has ended for certain."""
+        if self.is_leader or self._seen_at is None:
+            return False
+        if self.record is None or self.record.has_resigned:
+            return True
+        return now > self._seen_at + self._timing.authority + self._timing.margin
+
+    def next_record(
+        self, host: str, port: int, write: int, *, resign: bool = False
+    ) -> LeaderRecord:
+        """Return the row that this member would write now."""
+        term = self.record.term if self.record is not None else 0
+        if not self.is_leader:
+            term += 1
+        return LeaderRecord(self._member, host, port, term, resign, write)
+
+
+def encode_leader(record: LeaderRecord) -> bytes:
+    """Return the row's value."""
+    return msgspec.json.encode(record)
+
+
+def decode_leader(value: bytes) -> LeaderRecord | None:
+    """Return the record in a row's value, or None where it can't be read."""
+    try:
+        return msgspec.json.decode(value, type=LeaderRecord)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _version(row: StoredRow | None) -> int:
+    return row.version if row is not None else -1
--- /dev/null
+++ b/laburnumhatch/coordination/stream_key.py
@@ -0,0 +1,43 @@
+"""The key by which the instances know each other on their streams."""
+
+import secrets
+
+import logbook
+from twisted.internet.defer import Deferred
+
+from ..clocks import Clock, milliseconds
+from .store import Committed, Expectation, NewRow, RowsRead, RowStore
+
+__all__ = ["shared_stream_key"]
+
+TABLE = "streams"
+KEY = "key"
+KEY_BYTES = 24
+# Between two attempts while the store doesn't answer.
+RETRY_INTERVAL = milliseconds(400)
+
+_log = logbook.Logger("laburnumhatch.member")
+
+
+async def shared_stream_key(store: RowStore, clock: Clock) -> str:
+    """Return the key that the store holds; the first instance that asks makes it.
+
+    Notes
+    -----
+    Whoever may read and write the store's rows is an instance, so the key needs no other way.
+    """
+    own = secrets.token_hex(KEY_BYTES)
+    while True:
+        found = await store.read_row(TABLE, KEY)
+        if isinstance(found, RowsRead) and found.rows:
+            return found.rows[0].value.decode("ascii", "replace")
+        if isinstance(found, RowsRead):
+            row = NewRow(TABLE, KEY, own.encode())
+            written = await store.write([Expectation(TABLE, KEY, 0)], [row])
+            if isinstance(written, Committed):
+                return own
+            continue
+        _log.warning("the store doesn't answer: {}", found.reason)
+        pause: Deferred[None] = Deferred()
+        clock.call_later(RETRY_INTERVAL, pause.callback, None)
+        await pause
--- a/laburnumhatch/entry/daemon.py
+++ b/laburnumhatch/entry/daemon.py
@@ -10,7 +10,8 @@
 
 from ..clocks import Clock, ReactorClock, boot_seconds
 from ..settings import InstanceSettings
-from ..telemetry import JsonLineExporter, build_tracer_provider, start_logging
+from ..telemetry import start_logging
+from ..telemetry.traces import JsonLineExporter, build_tracer_provider
 from .instance import EntryInstance
 from .numeric_resolver import NumericResolver
 
--- a/laburnumhatch/entry/instance.py
+++ b/laburnumhatch/entry/instance.py
@@ -14,11 +14,11 @@
 from ..membership import Instance, InstanceDirectory, TargetHealth, http_probe
 from ..ownership import OwnershipKeeper
 from ..planning import plan_moves
-from ..platform import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
 from ..requests import RequestPath
 from ..routing import Snapshot, build_matcher
 from ..routing.match import Matcher
 from ..settings import InstanceSettings, ListenAddress
+from ..storage import HttpClient, HttpInstanceList, HttpObjectStore, HttpTable
 from .admin import AdminPages, build_admin_site
 from .first_leases import FirstLeases
 from .lifecycle import LifecycleActions, build_lifecycle
--- /dev/null
+++ b/laburnumhatch/fleet/__init__.py
@@ -0,0 +1,28 @@
+"""What an instance knows of the routes in force and of the upstreams that serve them."""
+
+from .knowledge import UpstreamKnowledge
+from .routes import (
+    CallerLimits,
+    Repetition,
+    Route,
+    RouteTable,
+    ServiceRule,
+    SplitPart,
+    find_route,
+)
+from .split import SplitCounter
+from .upstream import Upstream, UpstreamLife
+
+__all__ = [
+    "CallerLimits",
+    "Repetition",
+    "Route",
+    "RouteTable",
+    "ServiceRule",
+    "SplitCounter",
+    "SplitPart",
+    "Upstream",
+    "UpstreamKnowledge",
+    "UpstreamLife",
+    "find_route",
+]
--- /dev/null
+++ b/laburnumhatch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that takes callers' requests and passes them on."""
--- /dev/null
+++ b/laburnumhatch/gateway/daemon.py
@@ -0,0 +1,183 @@
+"""The gateway's process."""
+
+import secrets
+import signal
+from typing import Any
+
+import logbook
+from twisted.internet.defer import Deferred
+
+from ..clocks import Clock, ReactorClock, boot_seconds, milliseconds
+from ..clocks.duration_text import parse_duration
+from ..coordination.member import Member, MemberSetup
+from ..coordination.messages import COORDINATION_MESSAGES
+from ..coordination.stream_key import shared_stream_key
+from ..entry.lifecycle import LifecycleActions, build_lifecycle
+from ..entry.numeric_resolver import NumericResolver
+from ..keyspace import LeaseTiming
+from ..links import LINK_MESSAGES, Codec, PeerLinks
+from ..placement import LoadBoard
+from ..platform.order_sender import PlatformOrderSender
+from ..platform.sources import platform_sources
+from ..platform.store import PlatformStore
+from ..telemetry.bounded_stream import BoundedStream
+from ..telemetry.logs import start_logging
+from ..transport import CallerFactory, ConnectionPool, HttpCaller
+from .gateway import Gateway, RetryRule
+from .pages import metrics_page, readiness_page
+from .settings import GatewaySettings, address, read_settings
+
+__all__ = ["GatewayDaemon", "run"]
+
+# The balancer asks once a second and sends nobody after two misses.
+UNREADY_BEFORE_CLOSE = milliseconds(2500)
+# Share of the time for a graceful shutdown after which the process ends in any case.
+STOP_SHARE = 0.95
+CLOSE_CHECK = milliseconds(50)
+
+_log = logbook.Logger("laburnumhatch.gateway")
+
+
+class GatewayDaemon:
+    """The parts of one instance, and what ties them together."""
+
+    def __init__(self, reactor: Any, clock: Clock, settings: GatewaySettings, exit: Any) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._settings = settings
+        self._ports: list[Any] = []
+        self._callers_port: Any = None
+        self._lifecycle = build_lifecycle(
+            LifecycleActions(self._become_unready, self._close_port, self._hand_over, exit)
+        )
+        pool = ConnectionPool(reactor, clock)
+        caller = HttpCaller(pool, clock)
+        store_host, store_port = address(settings.store)
+        self._store = PlatformStore(caller, clock, store_host, store_port)
+        board = LoadBoard()
+        name = f"{settings.name}/{secrets.token_hex(4)}"
+        self._links = PeerLinks(
+            reactor=reactor,
+            clock=clock,
+            codec=Codec([LINK_MESSAGES, COORDINATION_MESSAGES]),
+            own=name,
+            shared_key="",
+        )
+        self._member = Member(
+            clock=clock,
+            setup=MemberSetup(name, settings.host, settings.stream_port),
+            store=self._store,
+            sources=platform_sources(self._store),
+            links=self._links,
+            sender=PlatformOrderSender(caller),
+            board=board,
+            on_change=lambda: self._gateway.refresh(),
+            lease_timing=LeaseTiming(longest_hold=parse_duration(settings.longest_hold)),
+        )
+        self._gateway = Gateway(
+            clock=clock,
+            data_centre=settings.data_centre,
+            member=self._member,
+            board=board,
+            pool=pool,
+            retry_rule=RetryRule(
+                parse_duration(settings.retry_window), settings.retry_ratio, settings.retry_slack
+            ),
+        )
+        self._pool = pool
+        self._callers = CallerFactory(clock, self._gateway.handle, self._gateway.limits)
+
+    def start(self) -> None:
+        """Open the ports and begin to read the store."""
+        settings = self._settings
+        self._callers_port = self._listen(address(settings.callers), self._callers)
+        ready = CallerFactory(self._clock, readiness_page(self._is_ready), self._gateway.limits)
+        self._ports.append(self._listen(address(settings.readiness), ready))
+        pages = CallerFactory(self._clock, metrics_page(self._gateway), self._gateway.limits)
+        self._ports.append(self._listen((settings.host, settings.metrics_port), pages))
+        joining = Deferred.fromCoroutine(self._join())
+        joining.addErrback(lambda f: _log.error("joining failed: {}", f.getTraceback()))
+        self._lifecycle.started()
+        _log.info("started")
+
+    def stop(self) -> None:
+        """Begin the graceful shutdown; repeats change nothing."""
+        self._lifecycle.stop_requested()
+
+    def reload(self) -> None:
+        """Say that the settings may have changed; they are read at the start only."""
+        _log.info("settings are read at the next start")
+
+    async def _join(self) -> None:
+        """Take part in the streams once the store has given the key of all instances."""
+        key = await shared_stream_key(self._store, self._clock)
+        self._links.use_key(key)
+        self._links.listen(self._settings.host, self._settings.stream_port)
+        self._member.start()
+
+    def _is_ready(self) -> bool:
+        return self._lifecycle.state_name() == "serving" and self._member.routes is not None
+
+    def _listen(self, where: tuple[str, int], factory: Any) -> Any:
+        return self._reactor.listenTCP(where[1], factory, interface=where[0], backlog=512)
+
+    def _become_unready(self) -> None:
+        _log.info("stopping: not ready from now on")
+        self._callers.is_stopping = True
+        within = parse_duration(self._settings.stop_within)
+        self._clock.call_later(UNREADY_BEFORE_CLOSE, self._lifecycle.notice_over)
+        self._clock.call_later(within * STOP_SHARE, self._lifecycle.time_is_up)
+
+    def _close_port(self) -> None:
+        _log.info("stopping: {} requests are in flight", self._gateway.in_flight)
+        self._callers_port.stopListening()
+        self._wait_for_callers()
+
+    def _wait_for_callers(self) -> None:
+        self._callers.close_idle()
+        if self._gateway.in_flight or self._callers.connections:
+            self._clock.call_later(CLOSE_CHECK, self._wait_for_callers)
+        else:
+            self._lifecycle.drained()
+
+    def _hand_over(self) -> None:
+        resigning = Deferred.fromCoroutine(self._member.resign())
+        resigning.addErrback(lambda f: _log.error("resigning failed: {}", f.getTraceback()))
+        resigning.addBoth(lambda _: self._links.stop())
+        resigning.addBoth(lambda _: self._lifecycle.handed_over())
+
+
+def run(settings_file: str) -> int:
+    """Run the gateway until it is told to stop.
+
+    Parameters
+    ----------
+    settings_file : str
+
+    Returns
+    -------
+    int
+        Exit code: 0 when no request was cut off, 1 otherwise.
+    """
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    settings = read_settings(settings_file)
+    reactor.installNameResolver(NumericResolver())
+    stream: Any = BoundedStream(1)
+    start_logging(settings.name, stream)
+    clock = ReactorClock(reactor, boot_seconds)
+    exit_codes: list[int] = []
+
+    def exit_process(code: int) -> None:
+        _log.info("ends with code {}", code)
+        exit_codes.append(code)
+        reactor.callLater(0, reactor.stop)
+
+    daemon = GatewayDaemon(reactor, clock, settings, exit_process)
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(daemon.stop))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(daemon.stop))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(daemon.reload))
+    reactor.callWhenRunning(daemon.start)
+    reactor.run(installSignalHandlers=False)
+    return exit_codes[0] if exit_codes else 1
--- /dev/null
+++ b/laburnumhatch/gateway/exchange.py
@@ -0,0 +1,454 @@
+"""One request of a caller, from its header to its final answer."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..clocks import Cancellable, milliseconds
+from ..fleet import Route, Upstream, UpstreamLife, find_route
+from ..placement import Declined, RetryCase, decide_admission, may_retry, predict_answer_time
+from ..placement.choice import choose_upstream
+from ..platform.headers import (
+    DEADLINE,
+    EXPECTED_UPSTREAM,
+    KEY,
+    REQUEST_ID,
+    SEAL,
+    find_header,
+    is_not_run,
+    parse_deadline_ms,
+    parse_key,
+)
+from ..results import Refusal, ResultCode, Run
+from ..transport import CallerRequest, CallFailure, OutboundRequest, PooledCall
+from ..transport.fields import HeaderFields, end_to_end_fields, keep_alive_seconds
+from .answers import Verdict, VerdictKind, judge_answer, judge_failure
+from .refusals import refuse
+
+if TYPE_CHECKING:
+    from .gateway import Gateway
+
+__all__ = ["Exchange"]
+
+# Wait for an upstream's own answer at its deadline, before the gateway gives its own.
+DEADLINE_SLACK = milliseconds(120)
+# Bytes of an answer that are held back, so that a request whose answer breaks off can be sent
+# again; longer answers are passed on as they come.
+HELD_BACK_BYTES = 262_144
+# Wait for the next owner of a key that moves.
+LONGEST_OWNER_WAIT = milliseconds(600)
+# When a caller may come back to a key without an owner.
+OWNER_RETRY = milliseconds(250)
+# When a caller may come back after upstreams that are not full declined its request.
+DECLINED_RETRY = milliseconds(40)
+NO_CONFIGURATION_RETRY = milliseconds(500)
+# Deadline of a caller that names none.
+DEFAULT_DEADLINE = timedelta(seconds=10)
+# Idle connections that carry a request which may not be repeated were used this lately: a close on
+# its way would leave it unknown whether the request ran.
+LONGEST_IDLE_UNREPEATABLE = milliseconds(1500)
+# Time for which an upstream that announced its shutdown still gets requests for keys that it holds.
+DRAINING_OWNER_GRACE = milliseconds(700)
+
+
+class _State(Enum):
+    PLACING = "placing"
+    WAITING_FOR_OWNER = "waiting for an owner"
+    SENT = "sent"
+    PASSING_ON = "passing the answer on"
+    OVER = "over"
+
+
+class Exchange:
+    """Handler of one request.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    request : CallerRequest
+    """
+
+    def __init__(self, gateway: "Gateway", request: CallerRequest) -> None:
+        self._gateway = gateway
+        self._request = request
+        self._state = _State.PLACING
+        self._route: Route | None = None
+        self._service = ""
+        self._key: int | None = None
+        self._due = request.received_at
+        self._timer: Cancellable | None = None
+        self._owner_timer: Cancellable | None = None
+        self._call: PooledCall | None = None
+        self._upstream: Upstream | None = None
+        self._sent_at: timedelta | None = None
+        self._turns = 1.0
+        self._asked: dict[str, int] = {}
+        self._sends = 0
+        self._may_have_run = False
+        self._verdict: Verdict | None = None
+        self._status = 0
+        self._fields: HeaderFields = []
+        self._length: int | None = None
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+
+    def start(self) -> None:
+        """Route the request and send it."""
+        request, gateway = self._request, self._gateway
+        request.on_left = self._caller_left
+        routes = gateway.member.routes
+        if routes is None:
+            self._refuse(ResultCode.NO_CONFIGURATION, NO_CONFIGURATION_RETRY)
+            return
+        host = find_header(request.fields, b"host") or b""
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = find_route(routes, host.decode("latin-1"), path)
+        if route is None:
+            self._refuse(ResultCode.NO_ROUTE, None)
+            return
+        self._route = route
+        self._service = gateway.split.choose(route)
+        rule = routes.services[self._service]
+        if rule.is_keyed:
+            self._key = parse_key(find_header(request.fields, KEY))
+            if self._key is None:
+                self._refuse(ResultCode.KEY_MISSING, None)
+                return
+            gateway.board.count_key(self._service, self._key)
+        gateway.budget(self._service).note_request(gateway.clock.now())
+        wanted = parse_deadline_ms(find_header(request.fields, DEADLINE))
+        allowed = DEFAULT_DEADLINE if wanted is None else milliseconds(wanted)
+        self._due = request.received_at + min(allowed, route.timeout)
+        self._timer = gateway.clock.call_later(
+            self._due + DEADLINE_SLACK - gateway.clock.now(), self._overdue
+        )
+        self._place()
+
+    def owners_changed(self) -> None:
+        """Look again for the owner of the request's key."""
+        if self._state is _State.WAITING_FOR_OWNER:
+            owner = self._find_owner()
+            if isinstance(owner, Upstream):
+                self._stop_waiting()
+                self._place()
+
+    # Placing.
+
+    def _left_s(self) -> float:
+        return (self._due - self._gateway.clock.now()).total_seconds()
+
+    def _place(self) -> None:
+        self._state = _State.PLACING
+        if self._key is not None:
+            self._place_at_owner()
+        else:
+            self._place_anywhere()
+
+    def _place_at_owner(self) -> None:
+        owner = self._find_owner()
+        if not isinstance(owner, Upstream):
+            self._wait_for_owner()
+            return
+        gateway = self._gateway
+        load = gateway.board.of(owner.name)
+        usual = gateway.usual_service_s(self._service)
+        predicted = predict_answer_time(owner, load, usual, gateway.clock.now())
+        self._admit(owner, predicted, load.service_s or usual)
+
+    def _find_owner(self) -> Upstream | UpstreamLife | None:
+        """Return the upstream that owns the key, its life where it takes nothing, or None."""
+        gateway = self._gateway
+        found = gateway.member.maps.get(self._service)
+        assert self._key is not None
+        held = found.find(self._key) if found is not None else None
+        if held is None or not held.is_held:
+            return None
+        upstream = gateway.member.knowledge.upstreams.get(held.owner.name)
+        if upstream is None or upstream.life != held.owner:
+            return held.owner
+        if gateway.draining_for(upstream) > DRAINING_OWNER_GRACE:
+            return held.owner
+        return upstream
+
+    def _wait_for_owner(self) -> None:
+        gateway = self._gateway
+        left = milliseconds(self._left_s() * 1000)
+        assert self._route is not None
+        wait = min(LONGEST_OWNER_WAIT, left / 2, self._route.latency_goal * 2)
+        self._state = _State.WAITING_FOR_OWNER
+        gateway.waiting.add(self)
+        self._owner_timer = gateway.clock.call_later(wait, self._no_owner)
+
+    def _stop_waiting(self) -> None:
+        self._gateway.waiting.discard(self)
+        if self._owner_timer is not None and self._owner_timer.active():
+            self._owner_timer.cancel()
+        self._owner_timer = None
+
+    def _no_owner(self) -> None:
+        self._gateway.waiting.discard(self)
+        self._refuse(ResultCode.NO_OWNER, OWNER_RETRY)
+
+    def _place_anywhere(self) -> None:
+        gateway = self._gateway
+        open_ones = gateway.open_upstreams(self._service)
+        candidates = [u for u in open_ones if u.name not in self._asked] or open_ones
+        assert self._route is not None
+        choice = choose_upstream(
+            candidates,
+            gateway.board.of,
+            gateway.data_centre,
+            self._route.is_bulky,
+            gateway.clock.now(),
+            gateway.random,
+        )
+        if choice is None:
+            self._refuse(ResultCode.NO_TARGET, OWNER_RETRY)
+            return
+        self._admit(choice.upstream, choice.predicted_s, gateway.usual_service_s(self._service))
+
+    def _admit(self, upstream: Upstream, predicted_s: float, service_s: float) -> None:
+        assert self._route is not None
+        goal = self._route.latency_goal.total_seconds()
+        decision = decide_admission(predicted_s, service_s, goal, self._left_s())
+        if isinstance(decision, Declined):
+            retry = milliseconds(decision.retry_after_s * 1000)
+            self._refuse(ResultCode.QUEUE_FULL, retry, decision.reason)
+            return
+        self._send(upstream)
+
+    # Sending.
+
+    def _send(self, upstream: Upstream) -> None:
+        gateway = self._gateway
+        assert self._route is not None
+        self._state = _State.SENT
+        self._upstream = upstream
+        self._sends += 1
+        self._verdict = None
+        self._held, self._held_bytes = [], 0
+        load = gateway.board.of(upstream.name)
+        load.own += 1
+        self._turns = max(1.0, load.in_flight / upstream.slots)
+        self._sent_at = None
+        call: dict[str, PooledCall] = {}
+        longest_idle = LONGEST_IDLE_UNREPEATABLE
+        if self._route.is_repeatable:
+            longest_idle = gateway.longest_idle
+        call["call"] = gateway.pool.send(
+            upstream.host, upstream.port, self._outbound, self, longest_idle
+        )
+        if self._state is _State.SENT and self._upstream is upstream:
+            self._call = call["call"]
+
+    def _outbound(self) -> OutboundRequest | None:
+        """Return the request as it goes out now."""
+        upstream, request = self._upstream, self._request
+        if self._state is not _State.SENT or upstream is None:
+            return None
+        self._sent_at = self._gateway.clock.now()
+        self._asked[upstream.name] = self._asked.get(upstream.name, 0) + 1
+        left_ms = max(1, int(self._left_s() * 1000))
+        fields = [
+            (name, value)
+            for name, value in end_to_end_fields(request.fields)
+            if name not in (DEADLINE, EXPECTED_UPSTREAM, b"expect")
+        ]
+        fields.append((DEADLINE, b"%d" % left_ms))
+        fields.append((EXPECTED_UPSTREAM, upstream.name.encode()))
+        own_id = find_header(request.fields, REQUEST_ID)
+
+        def belongs(status: int, answer: HeaderFields) -> bool:
+            return own_id is None or find_header(answer, REQUEST_ID) == own_id
+
+        return OutboundRequest(request.method, request.target, fields, request.body, belongs)
+
+    # The answer; see `AnswerReceiver`.
+
+    def began(self, status: int, fields: HeaderFields, length: int | None) -> None:
+        """Take the header of an answer."""
+        is_sealed = find_header(fields, SEAL) is not None
+        self._verdict = judge_answer(status, is_sealed, is_not_run(status, fields))
+        self._status, self._fields, self._length = status, fields, length
+        call = self._call
+        if call is not None and call.connection is not None:
+            call.connection.idle_limit_s = keep_alive_seconds(fields)
+
+    def received(self, data: bytes) -> None:
+        """Take a part of the answer's body."""
+        if self._state is _State.PASSING_ON:
+            self._request.write(data)
+            return
+        self._held.append(data)
+        self._held_bytes += len(data)
+        is_success = self._verdict is not None and self._verdict.kind is VerdictKind.SUCCESS
+        if is_success and self._held_bytes > HELD_BACK_BYTES:
+            self._begin_passing_on()
+
+    def ended(self) -> None:
+        """Take the end of a whole answer."""
+        verdict = self._verdict
+        assert verdict is not None
+        self._note_attempt(verdict)
+        if self._state is _State.PASSING_ON:
+            self._request.end()
+            self._finish("answered")
+        elif verdict.kind is VerdictKind.SUCCESS:
+            self._deliver()
+        else:
+            self._failed_attempt(verdict)
+
+    def failed(self, failure: CallFailure) -> None:
+        """Take the lack of a whole answer."""
+        verdict = judge_failure(failure)
+        self._note_attempt(verdict)
+        if self._state is _State.PASSING_ON:
+            self._request.break_off()
+            self._log_end("the answer broke off midway", verdict)
+            self._finish("broken off")
+            return
+        self._failed_attempt(verdict)
+
+    def _begin_passing_on(self) -> None:
+        self._state = _State.PASSING_ON
+        request, call = self._request, self._call
+        request.begin(self._status, end_to_end_fields(self._fields), self._length)
+        for data in self._held:
+            request.write(data)
+        self._held = []
+        if call is not None and call.connection is not None:
+            request.throttle(call.connection.pause, call.connection.resume)
+
+    def _deliver(self) -> None:
+        body = b"".join(self._held)
+        self._request.answer(self._status, end_to_end_fields(self._fields), body)
+        self._finish("answered")
+
+    def _note_attempt(self, verdict: Verdict) -> None:
+        gateway, upstream = self._gateway, self._upstream
+        assert upstream is not None
+        self._call = None
+        now = gateway.clock.now()
+        load = gateway.board.of(upstream.name)
+        load.own -= 1
+        if verdict.is_unreachable:
+            load.note_unreachable(now)
+            gateway.pool.close_idle((upstream.host, upstream.port))
+        elif verdict.kind is VerdictKind.NOT_RUN:
+            gateway.board.ended(upstream.name, now, ran_for_s=None, declined=True)
+        elif verdict.kind is VerdictKind.SUCCESS and self._sent_at is not None:
+            taken = (now - self._sent_at).total_seconds() / self._turns
+            gateway.board.ended(upstream.name, now, ran_for_s=taken, declined=False)
+        if verdict.kind in (VerdictKind.UNKNOWN, VerdictKind.FAILED):
+            self._may_have_run = True
+        gateway.metrics.attempts[self._service, verdict.kind.value] += 1
+
+    def _failed_attempt(self, verdict: Verdict) -> None:
+        """Send the request again or answer its caller."""
+        gateway = self._gateway
+        assert self._route is not None
+        case = RetryCase(
+            is_repeatable=self._route.is_repeatable,
+            has_not_run=not self._may_have_run,
+            upstreams_asked=len(self._asked),
+            most_upstreams=self._route.max_upstreams,
+            sends=self._sends,
+            left_s=self._left_s(),
+            service_s=gateway.usual_service_s(self._service),
+        )
+        if may_retry(case, self._has_another()) and self._take_repeat(verdict):
+            gateway.log.retry(self._request, self._service, self._upstream, verdict.reason)
+            self._place()
+            return
+        self._answer_failure(verdict)
+
+    def _has_another(self) -> bool:
+        if self._key is not None:
+            owner = self._find_owner()
+            return isinstance(owner, Upstream) and owner.name not in self._asked
+        return any(u.name not in self._asked for u in self._gateway.open_upstreams(self._service))
+
+    def _take_repeat(self, verdict: Verdict) -> bool:
+        if not self._asked:
+            # Nothing arrived anywhere, so nothing is repeated.
+            return True
+        gateway = self._gateway
+        budget = gateway.budget(self._service)
+        return budget.take(gateway.clock.now(), gateway.member.instances)
+
+    def _answer_failure(self, verdict: Verdict) -> None:
+        if verdict.kind is VerdictKind.FAILED and self._status not in (408, 421, 429, 503):
+            self._log_end("the upstream failed it", verdict)
+            self._request.answer(
+                self._status, end_to_end_fields(self._fields), b"".join(self._held)
+            )
+            self._finish("failed")
+        elif self._may_have_run:
+            self._refuse(ResultCode.UPSTREAM_BROKEN, None, verdict.reason)
+        else:
+            self._refuse(ResultCode.UPSTREAM_SHED, DECLINED_RETRY, verdict.reason)
+
+    # Ends.
+
+    def _overdue(self) -> None:
+        """Answer a caller whose time is over."""
+        self._timer = None
+        if self._state is _State.PASSING_ON or self._state is _State.OVER:
+            return
+        was_sent = self._state is _State.SENT and self._sent_at is not None
+        self._drop_call(abort=True)
+        if was_sent or self._may_have_run:
+            self._refuse(ResultCode.UPSTREAM_TIMEOUT, None)
+        else:
+            self._refuse(ResultCode.DEADLINE_UNREACHABLE, DECLINED_RETRY)
+
+    def _caller_left(self) -> None:
+        if self._state is _State.OVER:
+            return
+        is_repeatable = self._route is not None and self._route.is_repeatable
+        # What may not be repeated is left to end: cut off midway, nobody would know its outcome.
+        never_sent = self._sent_at is None
+        self._drop_call(abort=is_repeatable or never_sent)
+        self._finish("caller left")
+
+    def _drop_call(self, *, abort: bool) -> None:
+        if self._state in (_State.SENT, _State.PASSING_ON) and self._upstream is not None:
+            self._gateway.board.of(self._upstream.name).own -= 1
+            if self._call is not None and abort:
+                self._call.abort()
+            elif self._call is not None and self._call.connection is not None:
+                self._call.connection.drop_answer()
+            self._call = None
+            self._upstream = None
+
+    def _refuse(self, code: ResultCode, retry_after: timedelta | None, detail: str = "") -> None:
+        self._stop_waiting()
+        if retry_after is not None:
+            # Spread, so that callers who were refused together don't come back together.
+            retry_after *= 0.75 + 0.5 * self._gateway.random.random()
+        run = Run.UNKNOWN if self._may_have_run else None
+        refusal = Refusal(code, detail, run, retry_after)
+        if self._request.is_open:
+            refuse(self._request, refusal)
+        self._gateway.log.refusal(self._request, self._service, self._upstream, refusal)
+        self._finish(str(code.number))
+
+    def _log_end(self, what: str, verdict: Verdict) -> None:
+        self._gateway.log.failure(
+            self._request, self._service, self._upstream, f"{what}: {verdict.reason}"
+        )
+
+    def _finish(self, result: str) -> None:
+        self._state = _State.OVER
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        self._stop_waiting()
+        gateway = self._gateway
+        seconds = (gateway.clock.now() - self._request.received_at).total_seconds()
+        gateway.metrics.note_request(self._service, result, seconds)
+        gateway.exchange_over(self)
+
+
+ExchangeHandler = Callable[[CallerRequest], None]
--- /dev/null
+++ b/laburnumhatch/gateway/gateway.py
@@ -0,0 +1,137 @@
+"""What the requests of one instance share."""
+
+import random
+from datetime import timedelta
+
+from ..clocks import Clock
+from ..coordination.member import Member
+from ..fleet import CallerLimits, SplitCounter, Upstream
+from ..placement import LoadBoard, RetryBudget
+from ..placement.choice import usual_service_time
+from ..transport import CallerRequest, ConnectionPool
+from ..transport.pool import IDLE_LIMIT
+from .exchange import Exchange
+from .metrics import GatewayMetrics
+from .request_log import RequestLog
+
+__all__ = ["Gateway", "RetryRule"]
+
+
+class RetryRule:
+    """The bound on repeats that all instances share; see `RetryBudget`."""
+
+    def __init__(self, window: timedelta, ratio: float, slack: float) -> None:
+        self.window = window
+        self.ratio = ratio
+        self.slack = slack
+
+
+class Gateway:
+    """State that the requests of one instance share.
+
+    Parameters
+    ----------
+    clock : Clock
+    data_centre : str
+    member : Member
+    board : LoadBoard
+    pool : ConnectionPool
+    retry_rule : RetryRule
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        data_centre: str,
+        member: Member,
+        board: LoadBoard,
+        pool: ConnectionPool,
+        retry_rule: RetryRule,
+    ) -> None:
+        self._retry_rule = retry_rule
+        self._budgets: dict[str, RetryBudget] = {}
+        self._exchanges: set[Exchange] = set()
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._draining_since: dict[str, timedelta] = {}
+        self._on_idle = lambda: None
+        self.clock = clock
+        self.data_centre = data_centre
+        self.member = member
+        self.board = board
+        self.pool = pool
+        self.split = SplitCounter()
+        self.waiting: set[Exchange] = set()
+        self.metrics = GatewayMetrics()
+        self.log = RequestLog(clock)
+        self.random = random.Random()
+        self.longest_idle = IDLE_LIMIT
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no final answer yet."""
+        return len(self._exchanges)
+
+    def handle(self, request: CallerRequest) -> None:
+        """Take a request of a caller."""
+        exchange = Exchange(self, request)
+        self._exchanges.add(exchange)
+        exchange.start()
+
+    def limits(self) -> CallerLimits:
+        """Return what callers may send."""
+        routes = self.member.routes
+        return routes.limits if routes is not None else CallerLimits()
+
+    def refresh(self) -> None:
+        """Take a change of routes, upstreams or owners."""
+        now = self.clock.now()
+        by_service: dict[str, list[Upstream]] = {}
+        draining = {}
+        for upstream in self.member.knowledge.upstreams.values():
+            if upstream.is_draining:
+                draining[upstream.name] = self._draining_since.get(upstream.name, now)
+            else:
+                by_service.setdefault(upstream.service, []).append(upstream)
+        self._by_service = by_service
+        self._draining_since = draining
+        routes = self.member.routes
+        if routes is not None:
+            names = {route.name for found in routes.by_host.values() for route in found}
+            self.split.forget_others(names)
+        for exchange in list(self.waiting):
+            exchange.owners_changed()
+
+    def open_upstreams(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that take new requests."""
+        return self._by_service.get(service, [])
+
+    def draining_for(self, upstream: Upstream) -> timedelta:
+        """Return for how long an upstream is known to be leaving; zero where it isn't."""
+        since = self._draining_since.get(upstream.name)
+        return self.clock.now() - since if since is not None else timedelta()
+
+    def usual_service_s(self, service: str) -> float:
+        """Return the usual time of one request at a service, seconds."""
+        return usual_service_time(self.board.of(u.name) for u in self.open_upstreams(service))
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of a service's repeats."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            rule = self._retry_rule
+            budget = RetryBudget(rule.window, rule.ratio, rule.slack)
+            self._budgets[service] = budget
+        return budget
+
+    def exchange_over(self, exchange: Exchange) -> None:
+        """Forget a request that has its final answer."""
+        self._exchanges.discard(exchange)
+        if not self._exchanges:
+            self._on_idle()
+
+    def when_idle(self, action: object) -> None:
+        """Call `action` once no request is in flight, now if there is none."""
+        self._on_idle = action  # type: ignore[assignment]
+        if not self._exchanges:
+            self._on_idle()
--- /dev/null
+++ b/laburnumhatch/gateway/pages.py
@@ -0,0 +1,75 @@
+"""The readiness and metrics pages."""
+
+from collections.abc import Callable
+
+from ..transport import CallerRequest
+from .gateway import Gateway
+from .metrics import LATENCY_BOUNDS_S
+
+__all__ = ["metrics_page", "readiness_page"]
+
+
+def readiness_page(is_ready: Callable[[], bool]) -> Callable[[CallerRequest], None]:
+    """Return the handler that tells the balancer whether callers may be sent here."""
+
+    def handle(request: CallerRequest) -> None:
+        request.answer(200 if is_ready() else 503, [], b"")
+
+    return handle
+
+
+def metrics_page(gateway: Gateway) -> Callable[[CallerRequest], None]:
+    """Return the handler of the metrics page, in the Prometheus text format."""
+
+    def handle(request: CallerRequest) -> None:
+        text = "\n".join(_lines(gateway)) + "\n"
+        request.answer(200, [(b"content-type", b"text/plain; version=0.0.4")], text.encode())
+
+    return handle
+
+
+def _lines(gateway: Gateway) -> list[str]:
+    metrics, member = gateway.metrics, gateway.member
+    lines = ["# TYPE laburnumhatch_requests_total counter"]
+    for (service, result), count in sorted(metrics.requests.items()):
+        labels = f'service="{service}",result="{result}"'
+        lines.append(f"laburnumhatch_requests_total{{{labels}}} {count}")
+    lines.append("# TYPE laburnumhatch_attempts_total counter")
+    for (service, result), count in sorted(metrics.attempts.items()):
+        labels = f'service="{service}",result="{result}"'
+        lines.append(f"laburnumhatch_attempts_total{{{labels}}} {count}")
+    lines.append("# TYPE laburnumhatch_request_seconds histogram")
+    for service, buckets in sorted(metrics.latencies.items()):
+        lines += _histogram(service, buckets, metrics.latency_sums[service])
+    lines.append("# TYPE laburnumhatch_retry_budget_left gauge")
+    for service in sorted(metrics.latencies):
+        left = gateway.budget(service).left(gateway.clock.now(), member.instances)
+        lines.append(f'laburnumhatch_retry_budget_left{{service="{service}"}} {left:.1f}')
+    lines.append("# TYPE laburnumhatch_upstream_in_flight gauge")
+    for name, load in sorted(gateway.board.loads.items()):
+        lines.append(f'laburnumhatch_upstream_in_flight{{upstream="{name}"}} {load.in_flight}')
+    lines.append("# TYPE laburnumhatch_knowledge_age_seconds gauge")
+    for name, age in member.ages().items():
+        lines.append(f'laburnumhatch_knowledge_age_seconds{{of="{name}"}} {age:.3f}')
+    version = member.routes.version if member.routes is not None else 0
+    lines += [
+        f"laburnumhatch_configuration_version {version}",
+        f"laburnumhatch_instances {member.instances}",
+        f"laburnumhatch_is_leader {int(member.is_leader)}",
+        f"laburnumhatch_requests_in_flight {gateway.in_flight}",
+        f"laburnumhatch_upstream_connections_opened_total {gateway.pool.opened}",
+        f"laburnumhatch_log_lines_left_out {gateway.log.dropped}",
+    ]
+    return lines
+
+
+def _histogram(service: str, buckets: list[int], total_s: float) -> list[str]:
+    lines = []
+    below = 0
+    for bound, count in zip((*LATENCY_BOUNDS_S, "+Inf"), buckets, strict=True):
+        below += count
+        labels = f'service="{service}",le="{bound}"'
+        lines.append(f"laburnumhatch_request_seconds_bucket{{{labels}}} {below}")
+    lines.append(f'laburnumhatch_request_seconds_sum{{service="{service}"}} {total_s:.3f}')
+    lines.append(f'laburnumhatch_request_seconds_count{{service="{service}"}} {below}')
+    return lines
--- /dev/null
+++ b/laburnumhatch/gateway/refusals.py
@@ -0,0 +1,28 @@
+"""Answers of the gateway's own."""
+
+import msgspec
+
+from ..results import PROBLEM_CONTENT_TYPE, Refusal, Run, problem_document
+from ..transport import CallerRequest
+
+__all__ = ["NOT_RUN_STATUS", "refuse"]
+
+NOT_RUN_STATUS = 503
+
+
+def refuse(request: CallerRequest, refusal: Refusal) -> None:
+    """Answer a request with a refusal.
+
+    Notes
+    -----
+    The statuses 408, 421, 429 and 503 promise the caller that the request did not run and never
+    will, so a refusal without that certainty must carry another.
+    """
+    status = refusal.code.status
+    if refusal.effective_run is not Run.NO and status == NOT_RUN_STATUS:
+        raise ValueError(f"{refusal.code} promises what is not certain")
+    fields = [(b"content-type", PROBLEM_CONTENT_TYPE.encode())]
+    if refusal.retry_after is not None:
+        seconds = f"{refusal.retry_after.total_seconds():.3f}"
+        fields.append((b"retry-after", seconds.encode()))
+    request.answer(status, fields, msgspec.json.encode(problem_document(refusal)))
--- /dev/null
+++ b/laburnumhatch/gateway/settings.py
@@ -0,0 +1,98 @@
+"""Settings of the daemon: JSON with comments."""
+
+import os
+import re
+from pathlib import Path
+
+import msgspec
+
+from ..clocks.duration_text import parse_duration
+
+__all__ = ["GatewaySettings", "SettingsInvalid", "address", "read_settings", "strip_comments"]
+
+
+class SettingsInvalid(ValueError):
+    """Settings that can't be taken; says which field is wrong."""
+
+
+class GatewaySettings(msgspec.Struct, forbid_unknown_fields=False):
+    """Settings of one instance.
+
+    Attributes
+    ----------
+    name, data_centre : str
+    host : str
+        IP number of the instance.
+    callers, readiness : str
+        ``HOST:PORT`` where callers connect, and where the balancer asks whether it may send them.
+    stream_port : int
+        Port of the streams between the instances.
+    metrics_port : int
+        Port of the metrics page.
+    store : str
+        ``HOST:PORT`` of the shared store.
+    longest_hold, retry_window, stop_within, drain_within : str
+        Durations, as ``2.5s`` or ``900ms``.
+    retry_ratio, retry_slack : float
+        Repeats allowed for each request, and besides, over all instances and one window.
+    """
+
+    name: str
+    data_centre: str
+    host: str
+    callers: str
+    readiness: str
+    stream_port: int
+    metrics_port: int
+    store: str
+    longest_hold: str
+    retry_window: str
+    retry_ratio: float
+    retry_slack: float
+    stop_within: str
+    drain_within: str
+
+
+_COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
+
+
+def read_settings(path: str | os.PathLike[str]) -> GatewaySettings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    SettingsInvalid
+        If the file can't be read or a field is missing or wrong; names it.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        found = msgspec.json.decode(strip_comments(text), type=GatewaySettings)
+    except (OSError, UnicodeDecodeError, msgspec.MsgspecError) as e:
+        raise SettingsInvalid(f"{path}: {e}") from e
+    for field in ("longest_hold", "retry_window", "stop_within", "drain_within"):
+        try:
+            parse_duration(getattr(found, field))
+        except ValueError as e:
+            raise SettingsInvalid(f"{path}: {field}: {e}") from e
+    for field in ("callers", "readiness", "store"):
+        host, _, port = getattr(found, field).rpartition(":")
+        if not host or not port.isdigit():
+            raise SettingsInvalid(f"{path}: {field} is not HOST:PORT")
+    return found
+
+
+def strip_comments(text: str) -> str:
+    """Return JSON without its comments.
+
+    Examples
+    --------
+    >>> strip_comments('{"a": "//1"} // one')
+    '{"a": "//1"} '
+    """
+    return _COMMENT.sub(lambda found: found[1] or "", text)
+
+
+def address(text: str) -> tuple[str, int]:
+    """Return the host and the port of a settings field."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/laburnumhatch/keyspace/__init__.py
@@ -0,0 +1,38 @@
+"""Exclusive ownership of keys by leases that the upstreams enforce."""
+
+from .balance import KeyMove, plan_moves
+from .effects import (
+    CallResult,
+    GrantOrder,
+    GrantRefused,
+    NoAnswer,
+    OrderDone,
+    ReleaseOrder,
+    TargetGone,
+)
+from .lease import LeaseTiming, Phase, RangeLease
+from .ownership_map import MapRange, OwnershipMap
+from .row import ServiceRecord, decode_record, encode_record, record_of
+from .service_leases import ServiceLeases
+
+__all__ = [
+    "CallResult",
+    "GrantOrder",
+    "GrantRefused",
+    "KeyMove",
+    "LeaseTiming",
+    "MapRange",
+    "NoAnswer",
+    "OrderDone",
+    "OwnershipMap",
+    "Phase",
+    "RangeLease",
+    "ReleaseOrder",
+    "ServiceLeases",
+    "ServiceRecord",
+    "TargetGone",
+    "decode_record",
+    "encode_record",
+    "plan_moves",
+    "record_of",
+]
--- /dev/null
+++ b/laburnumhatch/keyspace/balance.py
@@ -0,0 +1,135 @@
+"""Which keys move to which upstream, so that no upstream is far busier than the others.
+
+Answers the load of a few busy keys that lie close to one another and change within seconds: a
+narrow range is moved, as wide as it takes to level two upstreams.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from ..fleet import UpstreamLife
+
+__all__ = ["KeyMove", "OwnedSpan", "plan_moves"]
+
+# Difference in utilisation that is worth a move.
+SMALLEST_GAP = 0.12
+# Utilisation below which an upstream isn't relieved.
+CALM_UTILISATION = 0.35
+# Share of the wanted load that a span has to carry to be worth a move, and may carry at most.
+LEAST_SHARE = 0.4
+MOST_SHARE = 1.15
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedSpan:
+    """A range of keys, both ends included, and its owner; `movable` where no move is under way."""
+
+    first: int
+    last: int
+    owner: UpstreamLife
+    movable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class KeyMove:
+    """Keys that go to another owner, both ends included."""
+
+    first: int
+    last: int
+    to: UpstreamLife
+
+
+def plan_moves(
+    spans: Sequence[OwnedSpan],
+    rates: Mapping[int, float],
+    capacities: Mapping[UpstreamLife, float],
+    most: int,
+) -> list[KeyMove]:
+    """Return moves that level the utilisation of upstreams.
+
+    Parameters
+    ----------
+    spans : sequence of OwnedSpan
+        In order of their keys.
+    rates : mapping of int to float
+        Requests a second by key, of the keys seen lately.
+    capacities : mapping of UpstreamLife to float
+        Requests a second that each usable upstream can run.
+    most : int
+        Most moves.
+    """
+    keys = sorted(rates)
+    loads = {life: 0.0 for life in capacities}
+    owned: dict[UpstreamLife, list[OwnedSpan]] = {life: [] for life in capacities}
+    position = 0
+    for span in spans:
+        while position < len(keys) and keys[position] <= span.last:
+            if keys[position] >= span.first and span.owner in loads:
+                loads[span.owner] += rates[keys[position]]
+            position += 1
+        if span.owner in owned and span.movable:
+            owned[span.owner].append(span)
+    moves: list[KeyMove] = []
+    stuck: set[UpstreamLife] = set()
+    while len(moves) < most:
+        candidates = [life for life in loads if life not in stuck]
+        if not candidates or len(loads) < 2:
+            break
+        busiest = max(candidates, key=lambda life: loads[life] / capacities[life])
+        idlest = min(loads, key=lambda life: loads[life] / capacities[life])
+        high = loads[busiest] / capacities[busiest]
+        low = loads[idlest] / capacities[idlest]
+        if high - low < SMALLEST_GAP or high < CALM_UTILISATION:
+            break
+        wanted = _levelling_rate(
+            loads[busiest], capacities[busiest], loads[idlest], capacities[idlest]
+        )
+        found = _narrowest_span(owned[busiest], keys, rates, wanted)
+        if found is None:
+            stuck.add(busiest)
+            continue
+        first, last, rate, span = found
+        moves.append(KeyMove(first, last, idlest))
+        loads[busiest] -= rate
+        loads[idlest] += rate
+        owned[busiest].remove(span)
+        if span.first < first:
+            owned[busiest].append(OwnedSpan(span.first, first - 1, busiest, True))
+        if last < span.last:
+            owned[busiest].append(OwnedSpan(last + 1, span.last, busiest, True))
+    return moves
+
+
+def _levelling_rate(high: float, high_capacity: float, low: float, low_capacity: float) -> float:
+    """Return the rate whose move gives both upstreams the same utilisation."""
+    return (high * low_capacity - low * high_capacity) / (high_capacity + low_capacity)
+
+
+def _narrowest_span(
+    spans: Sequence[OwnedSpan], keys: Sequence[int], rates: Mapping[int, float], wanted: float
+) -> tuple[int, int, float, OwnedSpan] | None:
+    """Return the first and last key, the rate and the span of the best piece to move."""
+    best: tuple[int, int, float, OwnedSpan] | None = None
+    for span in spans:
+        inside = [key for key in keys if span.first <= key <= span.last]
+        start, total = 0, 0.0
+        for end, key in enumerate(inside):
+            total += rates[key]
+            while total > wanted * MOST_SHARE and start <= end:
+                total -= rates[inside[start]]
+                start += 1
+            if total < wanted * LEAST_SHARE or start > end:
+                continue
+            if best is None or _is_better(total, key - inside[start], best, wanted):
+                best = (inside[start], key, total, span)
+    return best
+
+
+def _is_better(
+    rate: float, width: int, best: tuple[int, int, float, OwnedSpan], wanted: float
+) -> bool:
+    """Return whether a piece carries clearly more, or as much in fewer keys."""
+    best_rate, best_width = best[2], best[1] - best[0]
+    if abs(rate - best_rate) > 0.2 * wanted:
+        return rate > best_rate
+    return width < best_width
--- /dev/null
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -0,0 +1,316 @@
+"""The leases of all keys of one service, as their leader keeps them."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ..clocks import milliseconds
+from ..fleet import Upstream, UpstreamLife
+from .balance import KeyMove, OwnedSpan, plan_moves
+from .lease import NEVER, RENEWALS_MISSED, Former, LeaseTiming, Phase, RangeLease, begin_move
+from .ownership_map import MapRange, OwnershipMap
+from .row import ServiceRecord
+
+__all__ = [
+    "ServiceLeases",
+    "adopt_record",
+    "assign_all",
+    "keys_by_width",
+    "merge_neighbours",
+    "ownership_map",
+    "rebalance",
+    "replace_unusable_owners",
+]
+
+LAST_KEY = 65_535
+# Half-life of the counted requests by key: the busy keys change within seconds.
+RATE_HALF_LIFE = milliseconds(1200)
+# Counted requests below which a key is forgotten.
+FORGOTTEN_COUNT = 0.05
+# Pieces into which the keys of an owner that leaves are cut.
+PIECES_OF_A_LEAVER = 4
+# A range that was moved stays at least this long.
+REST_AFTER_MOVE = milliseconds(900)
+MOVES_AT_ONCE = 5
+# Leases for each upstream beyond which neighbours with one owner are merged.
+LEASES_PER_UPSTREAM = 3
+# An upstream that answered any request this lately is alive, whatever its grants say.
+ALIVE_FOR = milliseconds(1000)
+
+
+@dataclass(slots=True)
+class ServiceLeases:
+    """Leases of one service's keys.
+
+    Attributes
+    ----------
+    service : str
+    last_fence : int
+        Highest fencing token that was taken.
+    leases : list of RangeLease
+        In order of their keys.
+    row_version : int
+        Of the service's row in the store; 0 where it is absent.
+    changes : int
+        Changes that have to be written, counted.
+    written : int
+        As many of them are in the store.
+    counts : dict of int to float
+        Decayed requests by key.
+    first_seen : timedelta or None
+        When the first usable upstream was seen.
+    """
+
+    service: str
+    last_fence: int = 0
+    leases: list[RangeLease] = field(default_factory=list)
+    row_version: int = 0
+    changes: int = 0
+    written: int = 0
+    map_version: int = 0
+    counts: dict[int, float] = field(default_factory=dict)
+    decayed_at: timedelta = timedelta()
+    first_seen: timedelta | None = None
+
+    @property
+    def is_dirty(self) -> bool:
+        """Whether there are changes that are not in the store."""
+        return self.changes > self.written
+
+    def take_fences(self, number: int) -> int:
+        """Take fencing tokens; return the last of them."""
+        self.last_fence += number
+        self.changes += 1
+        return self.last_fence
+
+    def count(self, key: int, requests: int, now: timedelta) -> None:
+        """Count requests for a key."""
+        self._decay(now)
+        self.counts[key] = self.counts.get(key, 0.0) + requests
+
+    def rates(self, now: timedelta) -> dict[int, float]:
+        """Return the requests a second by key."""
+        self._decay(now)
+        factor = 0.693 / RATE_HALF_LIFE.total_seconds()
+        return {key: count * factor for key, count in self.counts.items()}
+
+    def _decay(self, now: timedelta) -> None:
+        passed = (now - self.decayed_at) / RATE_HALF_LIFE
+        if passed < 0.1:
+            return
+        factor = 0.5 ** min(passed, 60.0)
+        decayed = ((key, count * factor) for key, count in self.counts.items())
+        self.counts = {key: count for key, count in decayed if count > FORGOTTEN_COUNT}
+        self.decayed_at = now
+
+
+def adopt_record(
+    leases: ServiceLeases, record: ServiceRecord, timing: LeaseTiming, now: timedelta
+) -> None:
+    """Take over what a former leader recorded.
+
+    Notes
+    -----
+    Every recorded owner may hold its keys by a grant that was sent until now, with the longest
+    hold, and such a grant may be applied late. Owners are renewed at once under their tokens;
+    before a range is moved its owner is fenced or waited for.
+    """
+    latest = timing.end_of_hold(now, timing.longest_hold)
+    leases.last_fence = record.last_fence
+    leases.leases = []
+    for found in sorted(record.ranges, key=lambda r: r.first):
+        lease = RangeLease(found.first, found.last, found.owner, found.fence, Phase.GRANTING)
+        lease.held_until = lease.unanswered_until = latest
+        lease.is_confirmed = found.former is None
+        if found.former is not None:
+            lease.former = Former(found.former, found.fence - 1, latest, latest)
+            lease.phase = Phase.FENCING
+        leases.leases.append(lease)
+
+
+def keys_by_width(count: int) -> list[tuple[int, int]]:
+    """Return all keys, cut into so many ranges of about one width.
+
+    Examples
+    --------
+    >>> keys_by_width(3)
+    [(0, 21844), (21845, 43689), (43690, 65535)]
+    """
+    edges = [(LAST_KEY + 1) * i // count for i in range(count + 1)]
+    return [(first, end - 1) for first, end in zip(edges, edges[1:], strict=False)]
+
+
+def assign_all(leases: ServiceLeases, upstreams: Sequence[Upstream]) -> None:
+    """Give all keys their first owners, in proportion to the owners' slots."""
+    ordered = sorted(upstreams, key=lambda u: u.name)
+    parts = [upstream for upstream in ordered for _ in range(upstream.slots)]
+    leases.leases = []
+    for (first, last), upstream in zip(keys_by_width(len(parts)), parts, strict=True):
+        previous = leases.leases[-1] if leases.leases else None
+        if previous is not None and previous.owner == upstream.life:
+            previous.last = last
+            continue
+        fence = leases.take_fences(2)
+        leases.leases.append(RangeLease(first, last, upstream.life, fence))
+
+
+def replace_unusable_owners(
+    leases: ServiceLeases,
+    usable: Mapping[UpstreamLife, Upstream],
+    lives_by_name: Mapping[str, UpstreamLife],
+    answered_at: Callable[[str], timedelta],
+    now: timedelta,
+) -> list[KeyMove]:
+    """Move ranges away from owners that leave, are gone or have fallen silent.
+
+    Parameters
+    ----------
+    leases : ServiceLeases
+    usable : mapping of UpstreamLife to Upstream
+        Those that may own keys.
+    lives_by_name : mapping of str to UpstreamLife
+        The present life of each upstream that is known.
+    answered_at : callable
+        Returns when an upstream last answered any request.
+    now : timedelta
+    """
+    silent = {
+        lease.owner
+        for lease in leases.leases
+        if lease.missed >= RENEWALS_MISSED
+        and (lease.held_until == NEVER or now - answered_at(lease.owner.name) > ALIVE_FOR)
+    }
+    able = [life for life in usable if life not in silent]
+    if not able:
+        return []
+    load = _load_by_owner(leases, now)
+    moves = []
+    for lease in list(leases.leases):
+        if lease.owner in usable and lease.owner not in silent:
+            continue
+        if not lease.may_move:
+            continue
+        present = lives_by_name.get(lease.owner.name)
+        if present is not None and present != lease.owner:
+            # It started again, so its earlier life holds nothing.
+            lease.held_until = lease.unanswered_until = NEVER
+        pieces = PIECES_OF_A_LEAVER if lease.phase is Phase.HELD and not lease.in_flight else 1
+        for piece in _cut_evenly(leases, lease, min(pieces, len(able))):
+            to = min(able, key=lambda life: load.get(life, 0.0) / usable[life].slots)
+            load[to] = load.get(to, 0.0) + _load_of(leases, piece)
+            begin_move(piece, to, leases.take_fences, now)
+            moves.append(KeyMove(piece.first, piece.last, to))
+    return moves
+
+
+def rebalance(
+    leases: ServiceLeases, capacities: Mapping[UpstreamLife, float], now: timedelta
+) -> list[KeyMove]:
+    """Move busy keys from busy upstreams to idle ones."""
+    spans = [
+        OwnedSpan(lease.first, lease.last, lease.owner, _is_at_rest(lease, now))
+        for lease in leases.leases
+    ]
+    moves = plan_moves(spans, leases.rates(now), capacities, MOVES_AT_ONCE)
+    for move in moves:
+        lease = _cut_out(leases, move.first, move.last)
+        begin_move(lease, move.to, leases.take_fences, now)
+    return moves
+
+
+def merge_neighbours(leases: ServiceLeases, upstream_count: int, now: timedelta) -> int:
+    """Join ranges next to each other that have one owner; return how many went."""
+    most = LEASES_PER_UPSTREAM * max(1, upstream_count)
+    removed = 0
+    position = 0
+    while position + 1 < len(leases.leases) and len(leases.leases) > most:
+        left, right = leases.leases[position : position + 2]
+        joined = left.owner == right.owner and left.last + 1 == right.first
+        if not (joined and _is_at_rest(left, now) and _is_at_rest(right, now)):
+            position += 1
+            continue
+        left.last = right.last
+        left.held_until = max(left.held_until, right.held_until)
+        left.unanswered_until = max(left.unanswered_until, right.unanswered_until)
+        # One grant names one token, so the joined range needs a new one.
+        left.fence = leases.take_fences(2)
+        left.phase = Phase.UNWRITTEN
+        left.epoch += 1
+        del leases.leases[position + 1]
+        removed += 1
+        position += 1
+    return removed
+
+
+def ownership_map(leases: ServiceLeases) -> OwnershipMap:
+    """Return the owners as the other instances are told."""
+    ranges = tuple(
+        MapRange(lease.first, lease.last, lease.owner, lease.is_confirmed)
+        for lease in leases.leases
+    )
+    return OwnershipMap(leases.service, leases.map_version, ranges)
+
+
+def _is_at_rest(lease: RangeLease, now: timedelta) -> bool:
+    return (
+        lease.phase is Phase.HELD
+        and lease.former is None
+        and not lease.in_flight
+        and not lease.missed
+        and now - lease.moved > REST_AFTER_MOVE
+    )
+
+
+def _cut_out(leases: ServiceLeases, first: int, last: int) -> RangeLease:
+    """Return a lease of just these keys, cut out of the one that holds them."""
+    lease = next(x for x in leases.leases if x.first <= first and last <= x.last)
+    if lease.first < first:
+        lease = _cut_at(leases, lease, first)
+    if last < lease.last:
+        _cut_at(leases, lease, last + 1)
+    return lease
+
+
+def _cut_at(leases: ServiceLeases, lease: RangeLease, key: int) -> RangeLease:
+    """Cut a lease before a key; return its upper part."""
+    upper = RangeLease(
+        key,
+        lease.last,
+        lease.owner,
+        lease.fence,
+        lease.phase,
+        held_until=lease.held_until,
+        unanswered_until=lease.unanswered_until,
+        next_call=lease.next_call,
+        moved=lease.moved,
+        is_confirmed=lease.is_confirmed,
+    )
+    lease.last = key - 1
+    lease.epoch += 1
+    leases.leases.insert(leases.leases.index(lease) + 1, upper)
+    return upper
+
+
+def _cut_evenly(leases: ServiceLeases, lease: RangeLease, count: int) -> list[RangeLease]:
+    """Cut a lease into parts that carry about the same load."""
+    keys = sorted(k for k in leases.counts if lease.first <= k <= lease.last)
+    total = sum(leases.counts[key] for key in keys)
+    parts = [lease]
+    carried = 0.0
+    for key in keys:
+        if len(parts) < count and carried >= total * len(parts) / count and key > parts[-1].first:
+            parts.append(_cut_at(leases, parts[-1], key))
+        carried += leases.counts[key]
+    return parts
+
+
+def _load_of(leases: ServiceLeases, lease: RangeLease) -> float:
+    width = (lease.last - lease.first + 1) / (LAST_KEY + 1)
+    return width + sum(n for key, n in leases.counts.items() if lease.first <= key <= lease.last)
+
+
+def _load_by_owner(leases: ServiceLeases, now: timedelta) -> dict[UpstreamLife, float]:
+    load: dict[UpstreamLife, float] = {}
+    for lease in leases.leases:
+        load[lease.owner] = load.get(lease.owner, 0.0) + _load_of(leases, lease)
+    return load
--- a/laburnumhatch/links/peer_links.py
+++ b/laburnumhatch/links/peer_links.py
@@ -90,6 +90,10 @@
         found: int = self._port.getHost().port
         return found
 
+    def use_key(self, shared_key: str) -> None:
+        """Use a key for the streams that open from now on."""
+        self._shared_key = shared_key.encode()
+
     def stop(self) -> None:
         """Stop listening, dialling, and close all streams."""
         self._stopped = True
--- a/laburnumhatch/measures/control_costs.py
+++ b/laburnumhatch/measures/control_costs.py
@@ -26,8 +26,8 @@
 from ..membership import Instance, TargetState, choose_peers, probers_of
 from ..membership.messages import Heartbeat, Introduction, TargetReport
 from ..membership.view import Heard, live_instances, silent_instances
-from ..platform import InstanceState, ListedInstance
 from ..routing import RoutingFile
+from ..storage import InstanceState, ListedInstance
 
 __all__ = ["bytes_of_messages", "fit_slope", "main", "time_of_choices"]
 
--- a/laburnumhatch/membership/directory.py
+++ b/laburnumhatch/membership/directory.py
@@ -12,7 +12,7 @@
 from ..clocks import Cancellable, Clock, milliseconds
 from ..links.dialer import PeerAddress
 from ..links.interfaces import ManagedLinks
-from ..platform import InstanceList, ListedInstance, Unavailable
+from ..storage import InstanceList, ListedInstance, Unavailable
 from .interfaces import Instance
 from .messages import Heartbeat, Introduction
 from .peers import choose_peers
--- a/laburnumhatch/membership/probe.py
+++ b/laburnumhatch/membership/probe.py
@@ -8,9 +8,9 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from ..clocks import Clock, milliseconds
-from ..platform import HttpClient
-from ..platform.http import HttpAnswer, NotSent, ReplyLost
 from ..routing import Target
+from ..storage import HttpClient
+from ..storage.http import HttpAnswer, NotSent, ReplyLost
 from .target_record import Signal
 
 __all__ = ["Probe", "ProbeOutcome", "TargetLoad", "http_probe"]
--- a/laburnumhatch/membership/tests/conftest.py
+++ b/laburnumhatch/membership/tests/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ...links.tests.conftest import Network
-from ...platform import InstanceState, ListedInstance
+from ...storage import InstanceState, ListedInstance
 from ..directory import InstanceDirectory
 from ..interfaces import Instance
 from ..messages import MEMBERSHIP_MESSAGES
--- a/laburnumhatch/membership/tests/test_directory.py
+++ b/laburnumhatch/membership/tests/test_directory.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ...platform import InstanceState
+from ...storage import InstanceState
 from ..view import HEARD_TIMEOUT, Heard, live_instances
 from .conftest import make_instance, make_listed
 
--- a/laburnumhatch/membership/tests/test_probe.py
+++ b/laburnumhatch/membership/tests/test_probe.py
@@ -6,8 +6,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 
-from ...platform import HttpClient
 from ...routing import Target
+from ...storage import HttpClient
 from ..probe import PROBE_TIMEOUT, http_probe
 from ..target_record import Signal
 
--- a/laburnumhatch/membership/view.py
+++ b/laburnumhatch/membership/view.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from ..clocks import milliseconds
-from ..platform import InstanceState, ListedInstance
+from ..storage import InstanceState, ListedInstance
 from .interfaces import Instance
 
 __all__ = [
--- a/laburnumhatch/ownership/grants.py
+++ b/laburnumhatch/ownership/grants.py
@@ -10,8 +10,8 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from ..clocks import Clock, milliseconds, to_milliseconds
-from ..platform.http import HttpAnswer, HttpClient, NotSent, ReplyLost
 from ..routing import Target
+from ..storage.http import HttpAnswer, HttpClient, NotSent, ReplyLost
 from .server_clock import ServerClock, grant_end
 
 __all__ = ["GrantAnswer", "GrantSender", "GrantSet", "SlotRange", "encode_grants", "slot_ranges"]
--- a/laburnumhatch/ownership/group_driver.py
+++ b/laburnumhatch/ownership/group_driver.py
@@ -12,8 +12,8 @@
 from ..clocks import Cancellable, Clock, milliseconds
 from ..links.interfaces import Links
 from ..membership.interfaces import InstanceView
-from ..platform import Absent, Conflict, OutcomeUnknown, Row, Table, Written
 from ..routing import Service
+from ..storage import Absent, Conflict, OutcomeUnknown, Row, Table, Written
 from .effects import (
     AwaitDrain,
     Drained,
--- a/laburnumhatch/ownership/keeper.py
+++ b/laburnumhatch/ownership/keeper.py
@@ -12,9 +12,9 @@
 from ..links.interfaces import Links
 from ..membership.interfaces import InstanceView, TargetView
 from ..planning.interfaces import Move, PlanningView
-from ..platform import Table
 from ..results import ResultCode
 from ..routing import Service, Snapshot
+from ..storage import Table
 from .explanation import describe_group, describe_key
 from .grants import GrantSender
 from .group_driver import GroupDriver, GroupOutside
--- /dev/null
+++ b/laburnumhatch/placement/__init__.py
@@ -0,0 +1,20 @@
+"""Where a request goes, whether it is taken at all, and when it is sent again."""
+
+from .admission import Admitted, Declined, decide_admission
+from .choice import Choice, choose_upstream, predict_answer_time
+from .loads import LoadBoard, UpstreamLoad
+from .retries import RetryBudget, RetryCase, may_retry
+
+__all__ = [
+    "Admitted",
+    "Choice",
+    "Declined",
+    "LoadBoard",
+    "RetryBudget",
+    "RetryCase",
+    "UpstreamLoad",
+    "choose_upstream",
+    "decide_admission",
+    "may_retry",
+    "predict_answer_time",
+]
--- /dev/null
+++ b/laburnumhatch/placement/choice.py
@@ -0,0 +1,99 @@
+"""Choice of the upstream for a request without an owned key.
+
+Answers the load of many instances that share a few slots without a common counter: each sees its
+own requests at once and the others' a moment later.
+"""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from ..fleet import Upstream
+from .loads import UpstreamLoad
+
+__all__ = ["Choice", "choose_upstream", "predict_answer_time"]
+
+# Service time of an upstream that has answered nothing yet, where no other of its service has.
+UNKNOWN_SERVICE_S = 0.05
+# Factor on the predicted time at another data centre: its bytes cross a paid link.
+REMOTE_FACTOR = 1.1
+REMOTE_FACTOR_BULKY = 1.6
+# Spread of the random factor that keeps instances with the same view from choosing alike.
+JITTER = 0.15
+# Factor on the service time of an upstream that says that it is still slow from its start.
+WARMUP_FACTOR = 1.6
+# Largest declined share that is reckoned with, so that a declining upstream is tried now and then.
+MOST_DECLINED = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """An upstream and the predicted time to its answer, seconds."""
+
+    upstream: Upstream
+    predicted_s: float
+
+
+def predict_answer_time(
+    upstream: Upstream, load: UpstreamLoad, usual_s: float, now: timedelta
+) -> float:
+    """Return the seconds until a request that is sent now is answered.
+
+    Notes
+    -----
+    A request beyond the slots waits for its turn. Declined requests have to be sent again, so
+    the time is divided by the share that is taken.
+    """
+    service = load.service_s or usual_s
+    if upstream.warmup_left:
+        service = max(service, usual_s * WARMUP_FACTOR)
+    turns = max(1.0, (load.in_flight + 1) / upstream.slots)
+    return service * turns / (1.0 - min(load.declined_share(now), MOST_DECLINED))
+
+
+def usual_service_time(loads: Iterable[UpstreamLoad]) -> float:
+    """Return the median service time of a service's upstreams, seconds."""
+    known = sorted(load.service_s for load in loads if load.service_s)
+    return known[len(known) // 2] if known else UNKNOWN_SERVICE_S
+
+
+def choose_upstream(
+    candidates: Collection[Upstream],
+    load_of: Callable[[str], UpstreamLoad],
+    data_centre: str,
+    is_bulky: bool,
+    now: timedelta,
+    source: random.Random,
+) -> Choice | None:
+    """Return the upstream that is predicted to answer first, near ones preferred.
+
+    Parameters
+    ----------
+    candidates : collection of Upstream
+        Those that may take the request.
+    load_of : callable
+        Returns the load of an upstream by name.
+    data_centre : str
+        Of this instance.
+    is_bulky : bool
+        Whether the answer is large.
+    now : timedelta
+    source : random.Random
+    """
+    if not candidates:
+        return None
+    usual = usual_service_time(load_of(u.name) for u in candidates)
+    remote = REMOTE_FACTOR_BULKY if is_bulky else REMOTE_FACTOR
+    best: Choice | None = None
+    best_rank = (True, 0.0)
+    for upstream in candidates:
+        load = load_of(upstream.name)
+        predicted = predict_answer_time(upstream, load, usual, now)
+        weighed = predicted * (1.0 + JITTER * source.random())
+        if upstream.data_centre != data_centre:
+            weighed *= remote
+        rank = (now < load.avoid_until, weighed)
+        if best is None or rank < best_rank:
+            best, best_rank = Choice(upstream, predicted), rank
+    return best
--- /dev/null
+++ b/laburnumhatch/platform/order_sender.py
@@ -0,0 +1,56 @@
+"""Orders to upstreams about their keys, over HTTP."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..keyspace import (
+    CallResult,
+    GrantOrder,
+    GrantRefused,
+    NoAnswer,
+    OrderDone,
+    ReleaseOrder,
+    TargetGone,
+)
+from ..transport import CallFailed, HttpCaller
+from .grants import GRANT_PATH, RELEASE_PATH, encode_grant, encode_release
+from .headers import EXPECTED_UPSTREAM, HANDOVER, MISDIRECTED, find_header
+
+__all__ = ["PlatformOrderSender"]
+
+OK = 200
+CONFLICT = 409
+
+
+class PlatformOrderSender:
+    """Sends grants and releases to upstreams."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+
+    async def send(
+        self,
+        order: GrantOrder | ReleaseOrder,
+        address: tuple[str, int],
+        timeout: timedelta,
+        may_send: Callable[[], bool],
+    ) -> CallResult:
+        """Return what came of an order."""
+        if isinstance(order, GrantOrder):
+            path, body = GRANT_PATH, encode_grant(order)
+        else:
+            path, body = RELEASE_PATH, encode_release(order)
+        fields = [(EXPECTED_UPSTREAM, order.to.name.encode())]
+        host, port = address
+        reply = await self._caller.call(host, port, b"POST", path, body, timeout, fields, may_send)
+        if isinstance(reply, CallFailed):
+            return TargetGone() if reply.is_refused else NoAnswer(reply.never_sent)
+        if reply.status == OK:
+            handover = find_header(reply.fields, HANDOVER)
+            return OrderDone(handover.decode("latin-1") if handover else None)
+        if reply.status == CONFLICT:
+            return GrantRefused()
+        if reply.status == MISDIRECTED:
+            # The address belongs to another upstream now.
+            return TargetGone()
+        return NoAnswer()
--- /dev/null
+++ b/laburnumhatch/platform/sources.py
@@ -0,0 +1,55 @@
+"""Reads of the registrations and of the configuration."""
+
+from typing import Any
+
+import logbook
+
+from ..coordination.member import Sources
+from ..coordination.store import NotDone, RowsRead, Unanswered
+from ..fleet import RouteTable, Upstream
+from .configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    DocumentInvalid,
+    decode_configuration,
+)
+from .store import PlatformStore
+from .upstreams import UPSTREAM_TABLE, decode_upstreams
+
+__all__ = ["platform_sources"]
+
+_log = logbook.Logger("laburnumhatch.platform")
+
+
+def platform_sources(store: PlatformStore) -> Sources:
+    """Return the readers of the platform's registry and configuration."""
+    invalid: dict[str, str] = {}
+    refused: set[int] = set()
+
+    async def read_upstreams() -> list[Upstream] | NotDone | Unanswered:
+        found = await store.read(UPSTREAM_TABLE)
+        if not isinstance(found, RowsRead):
+            return found
+        return decode_upstreams(found.rows, invalid)
+
+    async def read_configuration(known: int) -> Any:
+        found = await store.read_row(CONFIGURATION_TABLE, CONFIGURATION_KEY)
+        if not isinstance(found, RowsRead):
+            return found
+        if not found.rows:
+            return known, None
+        row = found.rows[0]
+        if row.version <= known:
+            return known, None
+        return row.version, _decode(row.version, row.value)
+
+    def _decode(version: int, content: bytes) -> RouteTable | None:
+        try:
+            return decode_configuration(content)
+        except DocumentInvalid as e:
+            if version not in refused:
+                refused.add(version)
+                _log.error("the configuration can't be read, the former one stays: {}", e)
+            return None
+
+    return Sources(read_upstreams, read_configuration)
--- /dev/null
+++ b/laburnumhatch/platform/store.py
@@ -0,0 +1,187 @@
+"""Client of the platform's store of rows."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..clocks import Clock, milliseconds
+from ..coordination.store import (
+    Committed,
+    Expectation,
+    NewRow,
+    NotDone,
+    Rejected,
+    RowsRead,
+    StoredRow,
+    Unanswered,
+)
+from ..transport import HttpCaller, Reply
+
+__all__ = ["PlatformStore"]
+
+OK = 200
+CONDITION_FAILED = 412
+UNAVAILABLE = 503
+TOO_MANY = 429
+# Rows of one answer at most, as the store's page says.
+PAGE_ROWS = 500
+# Longer than the slowest answers in the users' site files, 87 times 8 ms.
+CALL_TIMEOUT = milliseconds(900)
+
+
+class _Row(msgspec.Struct):
+    key: str
+    ver: int
+    # Base64.
+    value: str | None = None
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row]
+    # Whether rows are missing at the end.
+    truncated: bool = False
+
+
+class _Condition(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class _Put(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class _Transaction(msgspec.Struct):
+    expected: list[_Condition]
+    put: list[_Put]
+    remove: list[_Condition] = []
+
+
+class _Done(msgspec.Struct):
+    ver: int
+
+
+class _Refused(msgspec.Struct):
+    rows: list[_Row] = []
+
+
+class PlatformStore:
+    """Rows of the platform's store; all of ours share the empty partition.
+
+    Parameters
+    ----------
+    caller : HttpCaller
+        Makes whole HTTP calls.
+    clock : Clock
+    host : str
+        IP number.
+    port : int
+
+    Attributes
+    ----------
+    calls : dict of str to int
+        Calls so far, by outcome.
+    """
+
+    def __init__(self, caller: HttpCaller, clock: Clock, host: str, port: int) -> None:
+        self._caller = caller
+        self._clock = clock
+        self._host = host
+        self._port = port
+        self.calls: dict[str, int] = {}
+
+    async def read(self, table: str) -> RowsRead | NotDone | Unanswered:
+        """Return all rows of a table.
+
+        Notes
+        -----
+        A table of more than one page is read page by page, so its rows are not of one moment.
+        """
+        rows: list[StoredRow] = []
+        start = ""
+        while True:
+            page = await self._read_page({"table": table, "part": "", "from": start})
+            if not isinstance(page, _Rows):
+                return page
+            rows += [_stored(row) for row in page.rows]
+            if not page.truncated or not page.rows:
+                return RowsRead(tuple(rows))
+            start = page.rows[-1].key + "\0"
+
+    async def read_row(self, table: str, key: str) -> RowsRead | NotDone | Unanswered:
+        """Return one row; no row where it is absent."""
+        page = await self._read_page(
+            {"table": table, "part": "", "from": key, "target": key + "\0"}
+        )
+        if not isinstance(page, _Rows):
+            return page
+        return RowsRead(tuple(_stored(row) for row in page.rows))
+
+    async def write(
+        self, expected: Sequence[Expectation], rows: Sequence[NewRow]
+    ) -> Committed | Rejected | NotDone | Unanswered:
+        """Write rows if all expectations hold."""
+        body = msgspec.json.encode(
+            _Transaction(
+                [_Condition(e.table, "", e.key, e.version) for e in expected],
+                [_Put(r.table, "", r.key, base64.b64encode(r.value).decode()) for r in rows],
+            )
+        )
+        reply = await self._call(b"POST", "/rows-tx", body)
+        if not isinstance(reply, Reply):
+            return reply
+        try:
+            if reply.status == OK:
+                return Committed(msgspec.json.decode(reply.body, type=_Done).ver)
+            if reply.status == CONDITION_FAILED:
+                refused = msgspec.json.decode(reply.body, type=_Refused)
+                return Rejected(tuple(_stored(row) for row in refused.rows))
+        except (msgspec.MsgspecError, ValueError) as e:
+            return Unanswered(f"the answer can't be read: {e}")
+        return self._unexpected(reply)
+
+    async def _read_page(self, query: dict[str, str]) -> _Rows | NotDone | Unanswered:
+        wanted = {name: value for name, value in query.items() if value or name == "part"}
+        reply = await self._call(b"GET", f"/rows-get?{urlencode(wanted)}&limit={PAGE_ROWS}", b"")
+        if not isinstance(reply, Reply):
+            return reply
+        if reply.status != OK:
+            return self._unexpected(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=_Rows)
+        except msgspec.MsgspecError as e:
+            return Unanswered(f"the answer can't be read: {e}")
+
+    async def _call(self, method: bytes, path: str, body: bytes) -> Reply | NotDone | Unanswered:
+        reply = await self._caller.call(
+            self._host, self._port, method, path.encode(), body, CALL_TIMEOUT
+        )
+        outcome = str(reply.status) if isinstance(reply, Reply) else type(reply).__name__
+        self.calls[outcome] = self.calls.get(outcome, 0) + 1
+        if isinstance(reply, Reply):
+            return reply
+        if reply.never_sent:
+            return NotDone(reply.reason)
+        return Unanswered(reply.reason)
+
+    def _unexpected(self, reply: Reply) -> NotDone | Unanswered:
+        if reply.status in (UNAVAILABLE, TOO_MANY):
+            return NotDone(f"status {reply.status}")
+        return Unanswered(f"status {reply.status}: {reply.body[:200]!r}")
+
+
+def _stored(row: _Row) -> StoredRow:
+    try:
+        value = base64.b64decode(row.value or "", validate=True)
+    except (binascii.Error, ValueError):
+        # Bytes that can't be read name nothing; the decoder of the row's content says so.
+        value = b""
+    return StoredRow(row.key, value, row.ver)
--- a/laburnumhatch/requests/claims.py
+++ b/laburnumhatch/requests/claims.py
@@ -7,8 +7,8 @@
 
 import xxhash
 
-from ..platform import Absent, Conflict, OutcomeUnknown, Row, Table, Written
 from ..results import Refusal, ResultCode, Run
+from ..storage import Absent, Conflict, OutcomeUnknown, Row, Table, Written
 
 __all__ = ["Claim", "ClaimState", "HeldClaim", "claim_key", "claim_request", "settle_claim"]
 
--- a/laburnumhatch/requests/context.py
+++ b/laburnumhatch/requests/context.py
@@ -16,9 +16,9 @@
 from ..clocks import Clock
 from ..membership import TargetView
 from ..ownership import Owner, OwnershipView
-from ..platform import Table
 from ..routing import Match, Service, Target
 from ..routing.match import Matcher
+from ..storage import Table
 from .admission import concurrency_limit
 from .caller import CallerRequest
 from .connections import TargetConnections
--- a/laburnumhatch/requests/exchange.py
+++ b/laburnumhatch/requests/exchange.py
@@ -9,9 +9,9 @@
 from twisted.internet.defer import Deferred
 
 from ..clocks import Cancellable
-from ..platform import Table
 from ..results import Refusal, ResultCode, Run
 from ..routing import Match, RequestKind
+from ..storage import Table
 from .attempts import RequestAttempts
 from .body import KeptBody, StreamedBody
 from .caller import LONGEST_KEPT_BODY, CallerRequest
--- a/laburnumhatch/requests/path.py
+++ b/laburnumhatch/requests/path.py
@@ -14,8 +14,8 @@
 from ..clocks import Clock
 from ..membership import TargetView
 from ..ownership import OwnershipView
-from ..platform import Table
 from ..routing.match import Matcher
+from ..storage import Table
 from .caller import CallerFactory
 from .context import RequestContext, WorkHook
 from .exchange import Exchange
--- a/laburnumhatch/requests/tests/test_claims.py
+++ b/laburnumhatch/requests/tests/test_claims.py
@@ -6,7 +6,7 @@
 import pytest_twisted
 from twisted.internet.defer import CancelledError, Deferred
 
-from ...platform import OutcomeUnknown, Row
+from ...storage import OutcomeUnknown, Row
 from ..claims import HeldClaim, claim_key, claim_request
 from .conftest import kind, until
 
--- a/laburnumhatch/standins/platform.py
+++ b/laburnumhatch/standins/platform.py
@@ -11,7 +11,7 @@
 from twisted.web.http import Request
 
 from ..clocks import Clock, milliseconds
-from ..platform import ListedInstance, Row
+from ..storage import ListedInstance, Row
 from .http import BadBody, answer_json, cut_connection, header, read_model, sleep
 from .platform_faults import PlatformFaults, StoreFaults
 
--- a/laburnumhatch/telemetry/__init__.py
+++ b/laburnumhatch/telemetry/__init__.py
@@ -1,6 +1,5 @@
-"""Logs, traces and metrics."""
+"""Logs, traces and metrics; traces are imported on their own, since their library is large."""
 
 from .logs import JsonLineHandler, start_logging
-from .traces import JsonLineExporter, build_tracer_provider
 
-__all__ = ["JsonLineExporter", "JsonLineHandler", "build_tracer_provider", "start_logging"]
+__all__ = ["JsonLineHandler", "start_logging"]
--- /dev/null
+++ b/laburnumhatch/transport/http_caller.py
@@ -0,0 +1,128 @@
+"""Whole HTTP calls that an instance makes on its own account."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from ..clocks import Cancellable, Clock
+from .fields import HeaderFields
+from .outbound import CallFailure, FailureKind, OutboundRequest
+from .pool import ConnectionPool, PooledCall
+
+__all__ = ["CallFailed", "HttpCaller", "Reply"]
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    fields: HeaderFields
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """No whole answer.
+
+    Attributes
+    ----------
+    reason : str
+    never_sent : bool
+        Whether the peer can't have seen the call.
+    is_refused : bool
+        Whether the peer's machine answered that nothing listens there.
+    """
+
+    reason: str
+    never_sent: bool
+    is_refused: bool = False
+
+
+class _Collector:
+    """Collects one answer."""
+
+    def __init__(self) -> None:
+        self.done: Deferred[Reply | CallFailed] = Deferred()
+        self.timer: Cancellable | None = None
+        self.call: PooledCall | None = None
+        self._status = 0
+        self._fields: HeaderFields = []
+        self._body: list[bytes] = []
+
+    def began(self, status: int, fields: HeaderFields, length: int | None) -> None:
+        self._status, self._fields = status, fields
+
+    def received(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def ended(self) -> None:
+        self._finish(Reply(self._status, self._fields, b"".join(self._body)))
+
+    def failed(self, failure: CallFailure) -> None:
+        refused = failure.kind is FailureKind.REFUSED
+        self._finish(CallFailed(failure.reason, failure.never_sent, refused))
+
+    def timed_out(self) -> None:
+        sent = self.call is not None and self.call.connection is not None
+        if self.call is not None:
+            self.call.abort()
+        self._finish(CallFailed("no answer in time", never_sent=not sent))
+
+    def _finish(self, result: Reply | CallFailed) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        if not self.done.called:
+            self.done.callback(result)
+
+
+class HttpCaller:
+    """Whole HTTP calls over pooled connections, each with a timeout."""
+
+    def __init__(self, pool: ConnectionPool, clock: Clock) -> None:
+        self._pool = pool
+        self._clock = clock
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        timeout: timedelta,
+        fields: HeaderFields | None = None,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> Reply | CallFailed:
+        """Return the whole answer to a call, or why there is none.
+
+        Parameters
+        ----------
+        host, port, method, target, body, timeout
+        fields : list of (bytes, bytes), optional
+            Further header fields.
+        may_send : callable, optional
+            Asked immediately before the call goes out, which may be after a connection was opened.
+
+        Notes
+        -----
+        A call that times out has its connection reset, so that bytes of it that are held up on
+        the way are dropped.
+        """
+        sent = [(b"host", f"{host}:{port}".encode()), *(fields or ())]
+        if body:
+            sent.append((b"content-type", b"application/json"))
+        request = OutboundRequest(method, target, sent, body, lambda status, fields: True)
+        collector = _Collector()
+
+        def make() -> OutboundRequest | None:
+            if may_send():
+                return request
+            collector.failed(CallFailure(FailureKind.LOST, True, "not sent any more"))
+            return None
+
+        collector.timer = self._clock.call_later(timeout, collector.timed_out)
+        collector.call = self._pool.send(host, port, make, collector)
+        return await collector.done
--- /dev/null
+++ b/laburnumhatch/transport/inbound.py
@@ -0,0 +1,370 @@
+"""Connections that callers open."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import h11
+import logbook
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import Protocol as StreamProtocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from ..clocks import Cancellable, Clock
+from ..fleet import CallerLimits
+from .fields import HeaderFields
+
+__all__ = ["CallerConnection", "CallerFactory", "CallerRequest"]
+
+# Bytes of further requests that a connection may hold while one is answered.
+PIPELINED_BYTES = 262_144
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+_log = logbook.Logger("laburnumhatch.transport")
+
+
+class CallerRequest:
+    """One request of a caller, and the way to answer it.
+
+    Attributes
+    ----------
+    method, target : bytes
+    fields : list of (bytes, bytes)
+        Names are in lower case.
+    body : bytes
+    received_at : timedelta
+        Instant at which its header was whole.
+    on_left : callable
+        Called when the caller closes its connection before the answer is whole.
+    """
+
+    def __init__(
+        self, connection: "CallerConnection", request: h11.Request, received_at: timedelta
+    ) -> None:
+        self._connection = connection
+        self.method = bytes(request.method)
+        self.target = bytes(request.target)
+        self.fields: HeaderFields = [(bytes(n), bytes(v)) for n, v in request.headers]
+        self.body = b""
+        self.received_at = received_at
+        self.on_left: Callable[[], None] = lambda: None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller can still get an answer."""
+        return self._connection.serves(self)
+
+    def answer(self, status: int, fields: HeaderFields, body: bytes) -> None:
+        """Send a whole answer."""
+        self.begin(status, fields, len(body))
+        if body:
+            self.write(body)
+        self.end()
+
+    def begin(self, status: int, fields: HeaderFields, length: int | None) -> None:
+        """Send the header of an answer; without a length it goes out in chunks."""
+        if self.is_open:
+            self._connection.begin_answer(status, fields, length, self.method)
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if self.is_open and self.method != b"HEAD":
+            self._connection.write_answer(data)
+
+    def end(self) -> None:
+        """End the answer."""
+        if self.is_open:
+            self._connection.end_answer()
+
+    def break_off(self) -> None:
+        """Reset the connection, so that the caller can't take the answer for a whole one."""
+        if self.is_open:
+            self._connection.break_off()
+
+    def throttle(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+        """Call `pause` and `resume` as the caller's connection fills and empties."""
+        if self.is_open:
+            self._connection.throttle(pause, resume)
+
+
+@implementer(IPushProducer)
+class CallerConnection(StreamProtocol):
+    """Connection of a caller; requests on it are answered one at a time."""
+
+    transport: Any
+    factory: "CallerFactory"
+
+    def __init__(self, factory: "CallerFactory") -> None:
+        self.factory = factory
+        limits = factory.limits()
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._request: CallerRequest | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_waiting = False
+        self._is_closed = False
+        self._timer: Cancellable | None = None
+        self._pause: Callable[[], None] | None = None
+        self._resume: Callable[[], None] | None = None
+        self._is_reading = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no part of a request is in and no answer is due."""
+        return self._request is None and not self._http.trailing_data[0]
+
+    def serves(self, request: CallerRequest) -> bool:
+        """Return whether an answer to a request can still be sent."""
+        return self._request is request and not self._is_closed
+
+    def connectionMade(self) -> None:
+        """Register with the factory and wait for a request."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.factory.connections.add(self)
+        self._set_timer(self.factory.limits().idle_timeout, self._idle_overdue)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Tell whoever works on the request that the caller left."""
+        self._is_closed = True
+        self._clear_timer()
+        self.factory.forget(self)
+        request, self._request = self._request, None
+        if request is not None and self._is_waiting:
+            request.on_left()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes of a request."""
+        if self._is_closed:
+            return
+        if self.is_idle and self._http.our_state is h11.IDLE:
+            self._set_timer(self.factory.limits().header_timeout, self._header_overdue)
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as e:
+            self._reject(e.error_status_hint, str(e))
+            return
+        if len(self._http.trailing_data[0]) > PIPELINED_BYTES and self._is_waiting:
+            self.transport.pauseProducing()
+        self._read_events()
+
+    def begin_answer(
+        self, status: int, fields: HeaderFields, length: int | None, method: bytes
+    ) -> None:
+        """Send the header of an answer."""
+        sent = list(fields)
+        if length is not None:
+            sent.append((b"content-length", b"%d" % length))
+        elif method != b"HEAD":
+            sent.append((b"transfer-encoding", b"chunked"))
+        if self.factory.is_stopping:
+            sent.append((b"connection", b"close"))
+        reason = REASONS.get(status, b"")
+        self._write(h11.Response(status_code=status, headers=sent, reason=reason))
+
+    def write_answer(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._write(h11.Data(data=data))
+
+    def end_answer(self) -> None:
+        """End the answer, and go on with the next request where the connection stays."""
+        self._write(h11.EndOfMessage())
+        self._request = None
+        self._is_waiting = False
+        self._pause = self._resume = None
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._set_timer(self.factory.limits().idle_timeout, self._idle_overdue)
+            self.transport.resumeProducing()
+            if not self._is_reading:
+                self._read_events()
+        else:
+            self._close()
+
+    def break_off(self) -> None:
+        """Reset the connection."""
+        self._is_closed = True
+        self._clear_timer()
+        self.transport.abortConnection()
+
+    def throttle(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+        """Call `pause` and `resume` as the send buffer fills and empties."""
+        self._pause, self._resume = pause, resume
+
+    def pauseProducing(self) -> None:
+        """Hold back whoever writes the answer."""
+        if self._pause is not None:
+            self._pause()
+
+    def resumeProducing(self) -> None:
+        """Let whoever writes the answer go on."""
+        if self._resume is not None:
+            self._resume()
+
+    def stopProducing(self) -> None:
+        """Do nothing: `connectionLost` follows."""
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is in or under way."""
+        if self.is_idle and not self._is_closed:
+            self._close()
+
+    def _read_events(self) -> None:
+        self._is_reading = True
+        try:
+            while not self._is_closed:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    self._continue_if_expected()
+                    return
+                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    return
+                if not self._take(event):
+                    return
+        except h11.RemoteProtocolError as e:
+            self._reject(e.error_status_hint, str(e))
+        finally:
+            self._is_reading = False
+
+    def _take(self, event: Any) -> bool:
+        limits = self.factory.limits()
+        if isinstance(event, h11.Request):
+            self._request = CallerRequest(self, event, self.factory.clock.now())
+            self._body, self._body_bytes = [], 0
+            self._set_timer(limits.idle_timeout, self._header_overdue)
+            problem = _framing_problem(self._request.fields, limits)
+            if problem is not None:
+                self._reject(*problem)
+                return False
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._body_bytes += len(event.data)
+            if self._body_bytes > limits.body_bytes:
+                self._reject(413, "the body is too large")
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            request = self._request
+            assert request is not None
+            request.body = b"".join(self._body)
+            self._body = []
+            self._clear_timer()
+            self._is_waiting = True
+            self.factory.handle(request)
+        return True
+
+    def _continue_if_expected(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _write(self, event: Any) -> None:
+        try:
+            content = self._http.send(event)
+        except h11.LocalProtocolError:
+            # An answer that breaks its own framing must not look whole.
+            _log.exception("an answer could not be sent")
+            self.break_off()
+            return
+        if content:
+            self.transport.write(content)
+
+    def _reject(self, status: int, reason: str) -> None:
+        self._request = None
+        _log.info("a request is refused with {}: {}", status, reason)
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = reason.encode("ascii", "replace")
+            fields = [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
+            self._write(
+                h11.Response(status_code=status, headers=fields, reason=REASONS.get(status, b""))
+            )
+            self._write(h11.Data(data=body))
+            self._write(h11.EndOfMessage())
+        self._close()
+
+    def _close(self) -> None:
+        self._is_closed = True
+        self._clear_timer()
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def _header_overdue(self) -> None:
+        self._reject(408, "the request took too long to arrive")
+
+    def _idle_overdue(self) -> None:
+        self._close()
+
+    def _set_timer(self, delay: timedelta, action: Callable[[], None]) -> None:
+        self._clear_timer()
+        self._timer = self.factory.clock.call_later(delay, action)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+
+class CallerFactory(Factory):
+    """Factory of the callers' connections.
+
+    Parameters
+    ----------
+    clock : Clock
+    handle : callable
+        Takes each whole `CallerRequest`.
+    limits : callable
+        Returns the `CallerLimits` in force.
+
+    Attributes
+    ----------
+    connections : set of CallerConnection
+    is_stopping : bool
+        Whether each answer ends its connection.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        clock: Clock,
+        handle: Callable[[CallerRequest], None],
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        self.clock = clock
+        self.handle = handle
+        self.limits = limits
+        self.connections: set[CallerConnection] = set()
+        self.is_stopping = False
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Drop a connection that is gone."""
+        self.connections.discard(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+
+def _framing_problem(fields: HeaderFields, limits: CallerLimits) -> tuple[int, str] | None:
+    lengths = [value for name, value in fields if name == b"content-length"]
+    if lengths and any(name == b"transfer-encoding" for name, _ in fields):
+        # RFC 9112, section 6.1: such a message may be an attempt at request smuggling.
+        return 400, "both a length and a transfer coding"
+    if lengths and int(lengths[0]) > limits.body_bytes:
+        return 413, "the body is too large"
+    return None
--- /dev/null
+++ b/laburnumhatch/transport/pool.py
@@ -0,0 +1,230 @@
+"""Connections to upstreams that are kept for further requests."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.protocol import ClientFactory
+
+from ..clocks import Clock, milliseconds
+from .outbound import (
+    AnswerReceiver,
+    CallFailure,
+    FailureKind,
+    OutboundConnection,
+    OutboundRequest,
+)
+
+__all__ = ["ConnectionPool", "PooledCall"]
+
+# A lost opening packet is sent again after a second: a longer wait would seldom help.
+CONNECT_TIMEOUT = milliseconds(400)
+# Shorter than the idle time after which the upstreams in the users' site files close.
+IDLE_LIMIT = milliseconds(6000)
+# Share of an announced idle time that is used, so that the close of the peer isn't met.
+ANNOUNCED_SHARE = 0.7
+SWEEP_INTERVAL = milliseconds(2000)
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, eq=False)
+class PooledCall:
+    """A request on its way.
+
+    Attributes
+    ----------
+    connection : OutboundConnection or None
+        None until a connection is open.
+    is_new_connection : bool
+    """
+
+    connection: OutboundConnection | None = None
+    connector: Any = None
+    is_new_connection: bool = False
+    is_over: bool = False
+
+    def abort(self) -> None:
+        """Give the request up; its receiver hears nothing more."""
+        self.is_over = True
+        if self.connection is not None:
+            self.connection.abort()
+        elif self.connector is not None:
+            self.connector.disconnect()
+
+
+class _Opening(ClientFactory):
+    """Opens one connection and sends a request on it."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        pool: "ConnectionPool",
+        address: Address,
+        call: PooledCall,
+        request: Callable[[], OutboundRequest | None],
+        receiver: AnswerReceiver,
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._call = call
+        self._request = request
+        self._receiver = receiver
+
+    def buildProtocol(self, addr: Any) -> OutboundConnection:
+        pool, address = self._pool, self._address
+        return _Connection(self._opened, lambda c: pool.put_back(address, c), pool.forget)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        if self._call.is_over:
+            return
+        self._call.is_over = True
+        kind = FailureKind.UNREACHABLE
+        if reason.check(ConnectionRefusedError):
+            kind = FailureKind.REFUSED
+        self._receiver.failed(CallFailure(kind, True, reason.getErrorMessage()))
+
+    def _opened(self, connection: OutboundConnection) -> None:
+        if self._call.is_over:
+            connection.abort()
+            return
+        self._call.connection = connection
+        request = self._request()
+        if request is None:
+            # Nothing is sent any more; the new connection is kept for others.
+            self._pool.put_back(self._address, connection)
+            return
+        connection.send(request, self._receiver)
+
+
+class _Connection(OutboundConnection):
+    """Connection that reports when it is open."""
+
+    def __init__(self, on_open: Any, on_idle: Any, on_gone: Any) -> None:
+        super().__init__(on_idle, on_gone)
+        self._on_open = on_open
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._on_open(self)
+
+
+class ConnectionPool:
+    """Idle connections by address; the last one used is used first.
+
+    Parameters
+    ----------
+    reactor
+        A Twisted reactor that connects.
+    clock : Clock
+
+    Attributes
+    ----------
+    opened : int
+        Connections that were opened so far.
+    """
+
+    def __init__(self, reactor: Any, clock: Clock) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._idle: dict[Address, list[tuple[timedelta, timedelta, OutboundConnection]]] = {}
+        self._is_closed = False
+        self.opened = 0
+        clock.call_later(SWEEP_INTERVAL, self._sweep)
+
+    def send(
+        self,
+        host: str,
+        port: int,
+        request: Callable[[], OutboundRequest | None],
+        receiver: AnswerReceiver,
+        longest_idle: timedelta = IDLE_LIMIT,
+    ) -> PooledCall:
+        """Send a request on an idle connection or on a new one.
+
+        Parameters
+        ----------
+        host, port
+        request : callable
+            Returns the request at the moment it goes out, or None if it shall not any more; the
+            receiver then hears nothing.
+        receiver : AnswerReceiver
+        longest_idle : timedelta, optional
+            Connections that were idle for longer are not used.
+        """
+        address = (host, port)
+        connection = self._take(address, longest_idle)
+        if connection is not None:
+            call = PooledCall(connection)
+            made = request()
+            if made is None:
+                self.put_back(address, connection)
+            else:
+                connection.send(made, receiver)
+            return call
+        self.opened += 1
+        call = PooledCall(is_new_connection=True)
+        factory = _Opening(self, address, call, request, receiver)
+        call.connector = self._reactor.connectTCP(
+            host, port, factory, timeout=CONNECT_TIMEOUT.total_seconds()
+        )
+        return call
+
+    def put_back(self, address: Address, connection: OutboundConnection) -> None:
+        """Keep a connection for a further request."""
+        if self._is_closed:
+            connection.abort()
+            return
+        limit = IDLE_LIMIT
+        if connection.idle_limit_s is not None:
+            limit = min(limit, timedelta(seconds=connection.idle_limit_s * ANNOUNCED_SHARE))
+        idle = self._idle.setdefault(address, [])
+        idle.append((self._clock.now(), limit, connection))
+
+    def forget(self, connection: OutboundConnection) -> None:
+        """Drop a connection that is gone."""
+        for address, idle in list(self._idle.items()):
+            kept = [entry for entry in idle if entry[2] is not connection]
+            if len(kept) != len(idle):
+                self._idle[address] = kept
+                return
+
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for _, _, connection in self._idle.pop(address, []):
+            connection.abort()
+
+    def close(self) -> None:
+        """Close the idle connections, and each other one when its answer ends."""
+        self._is_closed = True
+        for address in list(self._idle):
+            self.close_idle(address)
+
+    def _take(self, address: Address, longest_idle: timedelta) -> OutboundConnection | None:
+        idle = self._idle.get(address)
+        now = self._clock.now()
+        while idle:
+            since, limit, connection = idle[-1]
+            if now - since > min(limit, longest_idle):
+                return None
+            idle.pop()
+            if connection.is_quiet():
+                return connection
+            connection.abort()
+        return None
+
+    def _sweep(self) -> None:
+        if self._is_closed:
+            return
+        now = self._clock.now()
+        for address, idle in list(self._idle.items()):
+            expired = [entry for entry in idle if now - entry[0] > entry[1]]
+            self._idle[address] = [entry for entry in idle if now - entry[0] <= entry[1]]
+            for _, _, connection in expired:
+                connection.abort()
+            if not self._idle[address]:
+                del self._idle[address]
+        self._clock.call_later(SWEEP_INTERVAL, self._sweep)
