Keep one holder a key across a change of leader

Ruled out: waiting for every range at a change of leader; skipping the wait for ranges on their way. Change: a successor tells a recorded former owner to release and waits for grants that may be applied late; an order in flight at a move counts as unanswered; a restarted upstream is asked to release too; a leader that resigns lets its moves end first, and its row tells whether long holds may be in force.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -110,17 +110,40 @@
         self._told: dict[str, tuple[object, ...]] = {}
         self._rebalanced = timedelta()
         self._is_stopped = False
+        self._is_settling = False
+        self._long_holds_until = timedelta(days=-1)
         self._tick_is_due = False
         self._source = random.Random()
         self.services: dict[str, ServiceLeases] = {}
 
-    def start(self, rows: Iterable[StoredRow]) -> None:
-        """Take over what the store records, and begin."""
+    @property
+    def has_long_holds(self) -> bool:
+        """Whether grants with the longest hold may still be in force."""
+        return self._clock.now() < self._long_holds_until
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no range is on its way from one owner to another."""
+        return not any(
+            lease.former is not None for s in self.services.values() for lease in s.leases
+        )
+
+    def start(self, rows: Iterable[StoredRow], hold: timedelta) -> None:
+        """Take over what the store records, and begin.
+
+        Parameters
+        ----------
+        rows : iterable of StoredRow
+        hold : timedelta
+            The longest that a former leader may have granted of late.
+        """
         now = self._clock.now()
+        if hold > self._timing.hold:
+            self._long_holds_until = self._timing.end_of_hold(now, hold)
         for row in rows:
             leases = ServiceLeases(row.key, row_version=row.version)
             try:
-                adopt_record(leases, decode_record(row.value), self._timing, now)
+                adopt_record(leases, decode_record(row.value), self._timing, hold, now)
             except ValueError as e:
                 _log.error("the record of service {} can't be read: {}", row.key, e)
                 continue
@@ -128,6 +151,10 @@
         _log.info("leads with {} recorded services", len(self.services))
         self._tick()
 
+    def settle(self) -> None:
+        """Begin no further moves."""
+        self._is_settling = True
+
     def stop(self) -> None:
         """Send nothing more."""
         self._is_stopped = True
@@ -193,8 +220,9 @@
         now = self._clock.now()
         was_dirty = any(leases.is_dirty for leases in self.services.values())
         for leases in self.services.values():
-            self._update_owners(leases, now)
-        if now - self._rebalanced >= REBALANCE_INTERVAL:
+            if not self._is_settling:
+                self._update_owners(leases, now)
+        if not self._is_settling and now - self._rebalanced >= REBALANCE_INTERVAL:
             self._rebalanced = now
             for leases in self.services.values():
                 self._rebalance(leases, now)
@@ -224,9 +252,8 @@
                 assign_all(leases, list(usable.values()))
                 _log.info("first owners of {}: {} upstreams", leases.service, len(usable))
             return
-        lives = {upstream.name: upstream.life for upstream in self._upstreams.values()}
         moves = replace_unusable_owners(
-            leases, usable, lives, lambda name: self._board.of(name).answered_at, now
+            leases, usable, lambda name: self._board.of(name).answered_at, now
         )
         for move in moves:
             _log.info(
@@ -273,6 +300,7 @@
         hold = self._timing.hold
         if now - self._leadership.renewed > STORE_SILENCE:
             hold = self._timing.longest_hold
+            self._long_holds_until = self._timing.end_of_hold(now, hold)
         for lease in leases.leases:
             order = next_order(lease, hold, self._timing, now)
             if order is not None:
--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -29,6 +29,8 @@
         Whether it has sent its last order, so that nobody has to wait for it.
     write : int
         Number of the member's write, by which it knows one whose answer was lost.
+    long_holds : bool
+        Whether grants with the longest hold may still be in force.
     """
 
     member: str
@@ -37,6 +39,7 @@
     term: int
     has_resigned: bool
     write: int = 0
+    long_holds: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,13 +130,19 @@
         return now > self._seen_at + self._timing.authority + self._timing.margin
 
     def next_record(
-        self, host: str, port: int, write: int, *, resign: bool = False
+        self,
+        host: str,
+        port: int,
+        write: int,
+        *,
+        resign: bool = False,
+        long_holds: bool = False,
     ) -> LeaderRecord:
         """Return the row that this member would write now."""
         term = self.record.term if self.record is not None else 0
         if not self.is_leader:
             term += 1
-        return LeaderRecord(self._member, host, port, term, resign, write)
+        return LeaderRecord(self._member, host, port, term, resign, write, long_holds)
 
 
 def encode_leader(record: LeaderRecord) -> bytes:
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -57,6 +57,8 @@
 REMEMBERED_LIVES = 2000
 # Between a write and the next one of changes that came meanwhile.
 REWRITE_PAUSE = milliseconds(10)
+# A leader that resigns lets moves end for this long.
+LONGEST_SETTLING = milliseconds(1000)
 LONG_AGO = timedelta(days=-1)
 
 _log = logbook.Logger("laburnumhatch.member")
@@ -163,6 +165,7 @@
         self._pending: dict[int, tuple[timedelta, dict[str, int]]] = {}
         self._is_writing = False
         self._takeover_pause = timedelta()
+        self._assumed_hold = self._lease_timing.longest_hold
         self._news_sent = LONG_AGO
         self._report_sent = LONG_AGO
         self._reports: dict[str, dict[str, int]] = {}
@@ -205,15 +208,26 @@
 
     async def resign(self) -> None:
         """Give up the lead, so that a successor needn't wait."""
-        self._is_stopping = True
         if self._leader is None:
+            self._is_stopping = True
             return
-        self._leader.stop()
+        leader, began = self._leader, self._clock.now()
+        leader.settle()
+        while not leader.is_settled and self._clock.now() - began < LONGEST_SETTLING:
+            await self._pause(TICK)
+        leader.stop()
+        self._is_stopping = True
+        while self._is_writing:
+            await self._pause(REWRITE_PAUSE)
         row = self._leadership.row
         assert row is not None
         self._writes += 1
         record = self._leadership.next_record(
-            self._setup.host, self._setup.port, self._writes, resign=True
+            self._setup.host,
+            self._setup.port,
+            self._writes,
+            resign=True,
+            long_holds=leader.has_long_holds,
         )
         new = NewRow(LEADER_TABLE, LEADER_KEY, encode_leader(record))
         result = await self._store.write(
@@ -402,7 +416,15 @@
         sent = self._write_sent = self._clock.now()
         self._writes += 1
         write = self._writes
-        record = self._leadership.next_record(self._setup.host, self._setup.port, write)
+        leader = self._leader
+        record = self._leadership.next_record(
+            self._setup.host,
+            self._setup.port,
+            write,
+            long_holds=leader is not None and leader.has_long_holds,
+        )
+        if leader is None:
+            self._assumed_hold = self._hold_to_assume()
         row = self._leadership.row
         expected = [Expectation(LEADER_TABLE, LEADER_KEY, row.version if row is not None else 0)]
         rows = [NewRow(LEADER_TABLE, LEADER_KEY, encode_leader(record))]
@@ -427,6 +449,14 @@
             case Unanswered(reason=reason):
                 self._note_store(False, reason)
 
+    def _hold_to_assume(self) -> timedelta:
+        """Return the longest hold that the present leader may have granted of late."""
+        record = self._leadership.record
+        if record is None or (record.has_resigned and not record.long_holds):
+            return self._lease_timing.hold
+        # It may have been cut off from the store, and then grants for as long as it may.
+        return self._lease_timing.longest_hold
+
     def _take_rejection(self, found: tuple[StoredRow, ...]) -> None:
         leader_row = next((row for row in found if row.key == LEADER_KEY), None)
         if self._leader is not None:
@@ -471,13 +501,16 @@
         while leader is self._leader:
             found = await self._store.read(KEYS_TABLE)
             if isinstance(found, RowsRead):
-                leader.start(found.rows)
+                leader.start(found.rows, self._assumed_hold)
                 leader.follow(self._keyed_services(), self.knowledge.upstreams)
                 return
             self._note_store(False, found.reason)
-            pause: Deferred[None] = Deferred()
-            self._clock.call_later(TICK, pause.callback, None)
-            await pause
+            await self._pause(TICK)
+
+    async def _pause(self, delay: timedelta) -> None:
+        over: Deferred[None] = Deferred()
+        self._clock.call_later(delay, over.callback, None)
+        await over
 
     def _step_down(self) -> None:
         _log.warning("no longer the leader")
--- a/laburnumhatch/keyspace/lease.py
+++ b/laburnumhatch/keyspace/lease.py
@@ -184,6 +184,11 @@
         Takes a number of tokens, returns the last of them.
     now : timedelta
     """
+    if lease.in_flight:
+        # The answer will belong to an epoch that is over, so the order counts as unanswered.
+        lease.unanswered_until = lease.held_until
+        if lease.former is not None:
+            lease.former.unanswered_until = lease.former.until
     if lease.held_until > now:
         # An owner gets grants only once what came before it is settled.
         lease.former = Former(lease.owner, lease.fence, lease.held_until, lease.unanswered_until)
@@ -313,8 +318,13 @@
             lease.former = None
             _enter(lease, Phase.GRANTING, now)
         case OrderDone(handover=handover) if isinstance(order, ReleaseOrder):
-            lease.former = None
             lease.handover = handover
+            if former.unanswered_until > now:
+                # A grant may be applied after the release, and there is no token to fence it.
+                former.until = former.unanswered_until
+                _enter(lease, Phase.WAITING, now)
+                return
+            lease.former = None
             _enter(lease, Phase.GRANTING, now)
         case OrderDone():
             # Grants under the lower token that are still on their way are refused from now on.
--- a/laburnumhatch/keyspace/row.py
+++ b/laburnumhatch/keyspace/row.py
@@ -12,13 +12,27 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordedRange:
-    """A range as the store has it; `former` may hold it too."""
+    """A range as the store has it.
+
+    Attributes
+    ----------
+    first, last : int
+        Both included.
+    owner : UpstreamLife
+    fence : int
+        The owner's token.
+    former : UpstreamLife or None
+        The one before, which may hold the range as long as the owner doesn't.
+    former_fence : int
+        The former owner's token; 0 without one.
+    """
 
     first: int
     last: int
     owner: UpstreamLife
     fence: int
     former: UpstreamLife | None
+    former_fence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +47,8 @@
     last_fence: int
     # Name and birth of each upstream that the ranges point to by position.
     lives: list[tuple[str, int]]
-    # First and last key, position of the owner, token, position of the former owner or -1.
-    ranges: list[tuple[int, int, int, int, int]]
+    # First and last key, position of the owner, its token; of the former owner as well, or -1 and 0.
+    ranges: list[tuple[int, int, int, int, int, int]]
 
 
 def record_of(last_fence: int, leases: list[RangeLease]) -> ServiceRecord:
@@ -46,6 +60,7 @@
             lease.owner,
             lease.fence,
             lease.former.life if lease.former is not None else None,
+            lease.former.fence if lease.former is not None else 0,
         )
         for lease in leases
     )
@@ -60,7 +75,8 @@
         return -1 if life is None else positions.setdefault(life, len(positions))
 
     ranges = [
-        (r.first, r.last, position(r.owner), r.fence, position(r.former)) for r in record.ranges
+        (r.first, r.last, position(r.owner), r.fence, position(r.former), r.former_fence)
+        for r in record.ranges
     ]
     lives = [(life.name, life.born) for life in positions]
     return msgspec.json.encode(_Row(record.last_fence, lives, ranges))
@@ -80,9 +96,10 @@
         raise ValueError(f"not a record of owners: {e}") from e
     lives = [UpstreamLife(name, born) for name, born in row.lives]
     ranges = []
-    for first, last, owner, fence, former in row.ranges:
+    for first, last, owner, fence, former, former_fence in row.ranges:
         if not (0 <= owner < len(lives) and -1 <= former < len(lives) and first <= last):
             raise ValueError(f"not a record of owners: range {first} to {last}")
         former_life = lives[former] if former >= 0 else None
-        ranges.append(RecordedRange(first, last, lives[owner], fence, former_life))
+        found = RecordedRange(first, last, lives[owner], fence, former_life, former_fence)
+        ranges.append(found)
     return ServiceRecord(row.last_fence, tuple(ranges))
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -105,17 +105,31 @@
 
 
 def adopt_record(
-    leases: ServiceLeases, record: ServiceRecord, timing: LeaseTiming, now: timedelta
+    leases: ServiceLeases,
+    record: ServiceRecord,
+    timing: LeaseTiming,
+    hold: timedelta,
+    now: timedelta,
 ) -> None:
     """Take over what a former leader recorded.
 
+    Parameters
+    ----------
+    leases : ServiceLeases
+    record : ServiceRecord
+    timing : LeaseTiming
+    hold : timedelta
+        The longest that a former leader may have granted of late.
+    now : timedelta
+
     Notes
     -----
-    Every recorded owner may hold its keys by a grant that was sent until now, with the longest
-    hold, and such a grant may be applied late. Owners are renewed at once under their tokens;
-    before a range is moved its owner is fenced or waited for.
+    Every recorded owner may hold its keys by a grant that was sent until now, and such a grant may
+    be applied late. Owners are renewed at once under their tokens; before a range is moved its owner
+    is fenced or waited for. A former owner is only told to release: the owner may hold the range
+    already, so that a grant which fences the former would make two.
     """
-    latest = timing.end_of_hold(now, timing.longest_hold)
+    latest = timing.end_of_hold(now, hold)
     leases.last_fence = record.last_fence
     leases.leases = []
     for found in sorted(record.ranges, key=lambda r: r.first):
@@ -123,8 +137,8 @@
         lease.held_until = lease.unanswered_until = latest
         lease.is_confirmed = found.former is None
         if found.former is not None:
-            lease.former = Former(found.former, found.fence - 1, latest, latest)
-            lease.phase = Phase.FENCING
+            lease.former = Former(found.former, found.former_fence, latest, latest)
+            lease.phase = Phase.RELEASING
         leases.leases.append(lease)
 
 
@@ -157,7 +171,6 @@
 def replace_unusable_owners(
     leases: ServiceLeases,
     usable: Mapping[UpstreamLife, Upstream],
-    lives_by_name: Mapping[str, UpstreamLife],
     answered_at: Callable[[str], timedelta],
     now: timedelta,
 ) -> list[KeyMove]:
@@ -168,11 +181,14 @@
     leases : ServiceLeases
     usable : mapping of UpstreamLife to Upstream
         Those that may own keys.
-    lives_by_name : mapping of str to UpstreamLife
-        The present life of each upstream that is known.
     answered_at : callable
         Returns when an upstream last answered any request.
     now : timedelta
+
+    Notes
+    -----
+    An upstream that started again under its name is asked to release as well: it may have taken
+    grants that were meant for its earlier life.
     """
     silent = {
         lease.owner
@@ -181,19 +197,16 @@
         and (lease.held_until == NEVER or now - answered_at(lease.owner.name) > ALIVE_FOR)
     }
     able = [life for life in usable if life not in silent]
-    if not able:
+    leaving = [
+        lease
+        for lease in leases.leases
+        if lease.may_move and (lease.owner not in usable or lease.owner in silent)
+    ]
+    if not able or not leaving:
         return []
     load = _load_by_owner(leases, now)
     moves = []
-    for lease in list(leases.leases):
-        if lease.owner in usable and lease.owner not in silent:
-            continue
-        if not lease.may_move:
-            continue
-        present = lives_by_name.get(lease.owner.name)
-        if present is not None and present != lease.owner:
-            # It started again, so its earlier life holds nothing.
-            lease.held_until = lease.unanswered_until = NEVER
+    for lease in leaving:
         pieces = PIECES_OF_A_LEAVER if lease.phase is Phase.HELD and not lease.in_flight else 1
         for piece in _cut_evenly(leases, lease, min(pieces, len(able))):
             to = min(able, key=lambda life: load.get(life, 0.0) / usable[life].slots)
--- /dev/null
+++ b/laburnumhatch/platform/tests/test_configuration.py
@@ -0,0 +1,110 @@
+"""The configuration document is taken whole or not at all."""
+
+import copy
+import json
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...fleet import Repetition, find_route
+from ..configuration import DocumentInvalid, decode_configuration
+
+GOOD = {
+    "version": "r7",
+    "routes": {
+        "r-1": {
+            "host": "hulo84.example",
+            "prefix": "/leny950/",
+            "route_type": "safe",
+            "timeout": "1000ms",
+            "latency_goal": "300ms",
+            "priority": 2,
+            "traffic_split": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "lovo22d", "weight": 10},
+            ],
+            "max_attempts": 2,
+        },
+        "r-2": {
+            "host": "hulo84.example",
+            "prefix": "/leny950/deep/",
+            "route_type": "unsafe",
+            "timeout": "1.2s",
+            "latency_goal": "400ms",
+            "priority": 1,
+            "service": "wuno96b",
+            "max_attempts": 2,
+        },
+    },
+    "services": {
+        "huvo11a": {"max_conns": 110, "sharded": True, "warm": "3s"},
+        "lovo22d": {"max_conns": 110},
+        "wuno96b": {"max_conns": 110},
+    },
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 67108864,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15000ms",
+    },
+    "base_version": "r5",
+}
+
+
+def changed(path, value):
+    document = copy.deepcopy(GOOD)
+    place = document
+    for name in path[:-1]:
+        place = place[name]
+    place[path[-1]] = value
+    return json.dumps(document).encode()
+
+
+def test_a_document_is_decoded():
+    table = decode_configuration(json.dumps(GOOD).encode())
+    assert table.version == 7
+    assert table.services["huvo11a"].is_keyed
+    assert not table.services["wuno96b"].is_keyed
+    assert table.limits.idle_timeout == timedelta(seconds=15)
+
+
+def test_the_longest_prefix_is_found():
+    table = decode_configuration(json.dumps(GOOD).encode())
+    assert find_route(table, "HULO84.example:80", "/leny950/deep/x").name == "r-2"
+    assert find_route(table, "hulo84.example", "/leny950/x").name == "r-1"
+    assert find_route(table, "hulo84.example", "/leny950") is None
+    assert find_route(table, "other.example", "/leny950/x") is None
+
+
+def test_what_may_be_repeated_follows_from_the_kind():
+    table = decode_configuration(json.dumps(GOOD).encode())
+    assert find_route(table, "hulo84.example", "/leny950/deep/x").repetition is (
+        Repetition.AT_MOST_ONCE
+    )
+    assert find_route(table, "hulo84.example", "/leny950/x").is_repeatable
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("version",), "7"),
+        (("version",), 7),
+        (("routes", "r-1", "route_type"), "sometimes"),
+        (("routes", "r-1", "timeout"), "soon"),
+        (("routes", "r-2", "service"), "nobody"),
+        (("routes", "r-1", "traffic_split"), []),
+        (("services", "huvo11a"), {}),
+        (("limits",), None),
+    ],
+)
+def test_a_wrong_field_refuses_the_whole_document(path, value):
+    with pytest.raises(DocumentInvalid):
+        decode_configuration(changed(path, value))
+
+
+@given(st.integers(min_value=0, max_value=len(json.dumps(GOOD)) - 1))
+def test_a_document_that_is_cut_short_is_refused(length):
+    with pytest.raises(DocumentInvalid):
+        decode_configuration(json.dumps(GOOD).encode()[:length])
--- /dev/null
+++ b/laburnumhatch/platform/tests/test_upstreams.py
@@ -0,0 +1,100 @@
+"""Registrations of upstreams: what can't be read names no upstream, and the others hold."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...coordination.store import StoredRow
+from ...fleet import UpstreamLife
+from ..upstreams import decode_upstream, decode_upstreams
+
+GOOD = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "lade",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left": "1500ms",
+    "sequence": 4,
+    "born": 1785000000000,
+}
+
+anything = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text(), st.lists(st.integers())
+)
+
+
+def encode(**changes):
+    return json.dumps({**GOOD, **changes}).encode()
+
+
+def test_a_registration_is_decoded():
+    upstream = decode_upstream("i-1", encode())
+    assert upstream.life == UpstreamLife("i-1", 1785000000000)
+    assert (upstream.host, upstream.port) == ("10.128.0.9", 8080)
+    assert upstream.warmup_left == timedelta(seconds=1.5)
+    assert not upstream.is_draining
+
+
+def test_a_leaving_upstream_is_draining():
+    assert decode_upstream("i-1", encode(state="draining")).is_draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"slots": 0},
+        {"slots": "2"},
+        {"address": "host.example:80"},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:99999"},
+        {"warmup_left": 3},
+        {"warmup_left": "soon"},
+        {"born": "yesterday"},
+        {"service": None},
+    ],
+)
+def test_a_wrong_field_names_no_upstream(changes):
+    with pytest.raises(ValueError):
+        decode_upstream("i-1", encode(**changes))
+
+
+@pytest.mark.parametrize("field", sorted(set(GOOD) - {"born", "version"}))
+def test_a_missing_field_names_no_upstream(field):
+    content = {name: value for name, value in GOOD.items() if name != field}
+    with pytest.raises(ValueError):
+        decode_upstream("i-1", json.dumps(content).encode())
+
+
+def test_the_others_hold_beside_a_broken_registration():
+    rows = [
+        StoredRow("i-1", encode(), 1),
+        StoredRow("i-2", b"\xff\x00 not json", 2),
+        StoredRow("i-3", encode(state="on fire"), 3),
+        StoredRow("i-4", encode(state="draining"), 4),
+    ]
+    invalid = {}
+    found = decode_upstreams(rows, invalid)
+    assert [upstream.name for upstream in found] == ["i-1", "i-4"]
+    assert sorted(invalid) == ["i-2", "i-3"]
+
+
+@given(st.sampled_from(sorted(GOOD)), anything)
+def test_any_value_in_any_field_is_taken_or_refused(field, value):
+    try:
+        decode_upstream("i-1", json.dumps({**GOOD, field: value}).encode())
+    except ValueError:
+        return
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_taken_or_refused(content):
+    try:
+        decode_upstream("i-1", content)
+    except ValueError:
+        return
