Settle owners sooner: measured significance, shorter leases, takeover by the store's clock

Ruled out: holding requests back locally (the upstream's queue is the queue; nothing is gained by a second).

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -41,13 +41,15 @@
 
 # Between two looks at what is due.
 TICK = milliseconds(50)
-REBALANCE_INTERVAL = milliseconds(400)
+REBALANCE_INTERVAL = milliseconds(250)
 # Time for the first upstreams to register before keys get their first owners.
 FIRST_ASSIGNMENT_DELAY = milliseconds(800)
 # Time for which an upstream that refused a connection gets no keys.
 UNREACHABLE_FOR = milliseconds(1500)
 # Silence of the store after which grants get the longest hold.
 STORE_SILENCE = milliseconds(1100)
+# How much less than its slots' worth a slow upstream gets, by its service time over the usual one.
+SLOWNESS_EXPONENT = 0.5
 # Factor on the capacity of an upstream that says that it is still slow from its start.
 WARMUP_CAPACITY = 0.5
 
@@ -272,7 +274,9 @@
         capacities = {}
         for life, upstream in usable.items():
             load = self._board.of(upstream.name)
-            capacity = upstream.slots / (load.service_s or usual)
+            service = load.service_s or usual
+            # A slow upstream needs more spare room to answer within the goal.
+            capacity = upstream.slots / service * (usual / service) ** SLOWNESS_EXPONENT
             if upstream.warmup_left:
                 capacity *= WARMUP_CAPACITY
             capacities[life] = capacity * (1.0 - min(0.8, load.declined_share(now)))
--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -31,6 +31,8 @@
         Number of the member's write, by which it knows one whose answer was lost.
     long_holds : bool
         Whether grants with the longest hold may still be in force.
+    renewed_by : timedelta or None
+        What the store's clock showed at most when the row was sent; None where it wasn't known.
     """
 
     member: str
@@ -40,6 +42,7 @@
     has_resigned: bool
     write: int = 0
     long_holds: bool = False
+    renewed_by: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,10 +61,10 @@
         Between two looks at the row where the leader isn't heard.
     """
 
-    authority: timedelta = milliseconds(1800)
-    renew_interval: timedelta = milliseconds(450)
+    authority: timedelta = milliseconds(1300)
+    renew_interval: timedelta = milliseconds(350)
     margin: timedelta = milliseconds(100)
-    look_interval: timedelta = milliseconds(350)
+    look_interval: timedelta = milliseconds(300)
 
 
 class Leadership:
@@ -83,6 +86,7 @@
         self._member = member
         self._timing = timing
         self._seen_at: timedelta | None = None
+        self._expired_version = -1
         self.row: StoredRow | None = None
         self.record: LeaderRecord | None = None
         self.is_leader = False
@@ -97,8 +101,21 @@
         """Return whether this member may act as the leader now."""
         return self.is_leader and now < self.authority_end
 
-    def saw(self, row: StoredRow | None, now: timedelta) -> None:
-        """Take the row as a read or a failed write showed it."""
+    def saw(
+        self, row: StoredRow | None, now: timedelta, store_time: timedelta | None = None
+    ) -> None:
+        """Take the row as a read or a failed write showed it.
+
+        Parameters
+        ----------
+        row : StoredRow or None
+        now : timedelta
+        store_time : timedelta, optional
+            What the store's clock showed at the read. With it, the end of the leader's authority is
+            known at the first look, as after the loss of all instances.
+        """
+        if row is not None and store_time is not None:
+            self._note_store_time(row, store_time)
         if self._seen_at is not None and _version(row) <= _version(self.row):
             return
         self.row = row
@@ -107,6 +124,14 @@
         if self.is_leader and (self.record is None or self.record.member != self._member):
             self.is_leader = False
 
+    def _note_store_time(self, row: StoredRow, store_time: timedelta) -> None:
+        record = decode_leader(row.value)
+        if record is None or record.renewed_by is None:
+            return
+        end = record.renewed_by + self._timing.authority + self._timing.margin
+        if store_time > end:
+            self._expired_version = max(self._expired_version, row.version)
+
     def heard_renewal(self, version: int, now: timedelta) -> None:
         """Take the leader's own word that it renewed the row as `version`."""
         if self.row is not None and version > self.row.version:
@@ -127,6 +152,8 @@
             return False
         if self.record is None or self.record.has_resigned:
             return True
+        if self.row is not None and self.row.version <= self._expired_version:
+            return True
         return now > self._seen_at + self._timing.authority + self._timing.margin
 
     def next_record(
@@ -137,12 +164,13 @@
         *,
         resign: bool = False,
         long_holds: bool = False,
+        renewed_by: timedelta | None = None,
     ) -> LeaderRecord:
         """Return the row that this member would write now."""
         term = self.record.term if self.record is not None else 0
         if not self.is_leader:
             term += 1
-        return LeaderRecord(self._member, host, port, term, resign, write, long_holds)
+        return LeaderRecord(self._member, host, port, term, resign, write, long_holds, renewed_by)
 
 
 def encode_leader(record: LeaderRecord) -> bytes:
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -166,6 +166,7 @@
         self._is_writing = False
         self._takeover_pause = timedelta()
         self._assumed_hold = self._lease_timing.longest_hold
+        self._store_time: tuple[timedelta, timedelta] | None = None
         self._news_sent = LONG_AGO
         self._report_sent = LONG_AGO
         self._reports: dict[str, dict[str, int]] = {}
@@ -335,16 +336,18 @@
         self._on_change()
 
     async def _look_at_leader(self) -> None:
+        sent = self._clock.now()
         found = await self._store.read_row(LEADER_TABLE, LEADER_KEY)
         if not isinstance(found, RowsRead):
             self._note_store(False, found.reason)
             return
-        self._saw_leader(found.rows[0] if found.rows else None)
+        self._note_store_time(found.time, sent)
+        self._saw_leader(found.rows[0] if found.rows else None, found.time)
 
-    def _saw_leader(self, row: StoredRow | None) -> None:
+    def _saw_leader(self, row: StoredRow | None, store_time: timedelta | None = None) -> None:
         now = self._clock.now()
         before = self.leader_name
-        self._leadership.saw(row, now)
+        self._leadership.saw(row, now, store_time)
         record = self._leadership.record
         if record is not None and record.member == self._setup.name:
             self._settle_own_write(row, record.write, now)
@@ -353,6 +356,17 @@
         if record is not None and record.member != self._setup.name and not record.has_resigned:
             self._links.set_peers([PeerAddress(record.member, record.host, record.port)])
 
+    def _note_store_time(self, time: timedelta | None, sent: timedelta) -> None:
+        if time is not None:
+            self._store_time = (time, sent)
+
+    def _latest_store_time(self) -> timedelta | None:
+        """Return what the store's clock shows now at most."""
+        if self._store_time is None:
+            return None
+        time, sent = self._store_time
+        return time + (self._clock.now() - sent)
+
     def _note_store(self, is_well: bool, reason: str) -> None:
         if is_well != self._store_is_well:
             self._store_is_well = is_well
@@ -422,6 +436,7 @@
             self._setup.port,
             write,
             long_holds=leader is not None and leader.has_long_holds,
+            renewed_by=self._latest_store_time(),
         )
         if leader is None:
             self._assumed_hold = self._hold_to_assume()
@@ -437,8 +452,9 @@
         result = await self._store.write(expected, rows)
         now = self._clock.now()
         match result:
-            case Committed(version=version):
+            case Committed(version=version, time=time):
                 self._note_store(True, "")
+                self._note_store_time(time, sent)
                 value = rows[0].value
                 self._acknowledge(StoredRow(LEADER_KEY, value, version), write, now)
             case Rejected(rows=found):
@@ -471,6 +487,9 @@
             self._acknowledge(row, write, now)
 
     def _acknowledge(self, row: StoredRow, write: int, now: timedelta) -> None:
+        if write not in self._pending:
+            # A later look at the row has settled it already.
+            return
         sent, covered = self._pending[write]
         self._pending = {n: w for n, w in self._pending.items() if n > write}
         self._leadership.acknowledged(row, sent, now)
--- a/laburnumhatch/coordination/store.py
+++ b/laburnumhatch/coordination/store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
 __all__ = [
@@ -28,9 +29,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RowsRead:
-    """Rows of a table as of one moment."""
+    """Rows of a table as of one moment; `time` is what the store's steady clock showed."""
 
     rows: tuple[StoredRow, ...]
+    time: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,9 +55,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Committed:
-    """All rows were written, under `version`."""
+    """All rows were written, under `version`, at `time` by the store's steady clock."""
 
     version: int
+    time: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -13,6 +13,7 @@
     DEADLINE,
     EXPECTED_UPSTREAM,
     KEY,
+    MISDIRECTED,
     REQUEST_ID,
     SEAL,
     find_header,
@@ -153,7 +154,7 @@
         gateway = self._gateway
         load = gateway.board.of(owner.name)
         usual = gateway.usual_service_s(self._service)
-        predicted = predict_answer_time(owner, load, usual, gateway.clock.now())
+        predicted = predict_answer_time(owner, load, usual)
         self._admit(owner, predicted, load.service_s or usual)
 
     def _find_owner(self) -> Upstream | UpstreamLife | None:
@@ -164,6 +165,8 @@
         held = found.find(self._key) if found is not None else None
         if held is None or not held.is_held:
             return None
+        if gateway.is_disproved(self._service, held):
+            return None
         upstream = gateway.member.knowledge.upstreams.get(held.owner.name)
         if upstream is None or upstream.life != held.owner:
             return held.owner
@@ -335,6 +338,8 @@
         if verdict.is_unreachable:
             load.note_unreachable(now)
             gateway.pool.close_idle((upstream.host, upstream.port))
+        elif verdict.kind is VerdictKind.NOT_RUN and self._status == MISDIRECTED:
+            self._note_misdirected(upstream)
         elif verdict.kind is VerdictKind.NOT_RUN:
             gateway.board.ended(upstream.name, now, ran_for_s=None, declined=True)
         elif verdict.kind is VerdictKind.SUCCESS and self._sent_at is not None:
@@ -344,6 +349,15 @@
             self._may_have_run = True
         gateway.metrics.attempts[self._service, verdict.kind.value] += 1
 
+    def _note_misdirected(self, upstream: Upstream) -> None:
+        """Keep further requests from an upstream that doesn't hold what the map says."""
+        found = self._gateway.member.maps.get(self._service)
+        if found is None or self._key is None:
+            return
+        held = found.find(self._key)
+        if held is not None and held.owner == upstream.life:
+            self._gateway.disprove(self._service, held)
+
     def _failed_attempt(self, verdict: Verdict) -> None:
         """Send the request again or answer its caller."""
         gateway = self._gateway
@@ -427,8 +441,11 @@
         if retry_after is not None:
             # Spread, so that callers who were refused together don't come back together.
             retry_after *= 0.75 + 0.5 * self._gateway.random.random()
-        run = Run.UNKNOWN if self._may_have_run else None
-        refusal = Refusal(code, detail, run, retry_after)
+        if self._may_have_run and code.run is Run.NO:
+            # An earlier attempt may have run, so nothing may promise that the request didn't.
+            detail = f"{code.title}; {detail}" if detail else code.title
+            code, retry_after = ResultCode.UPSTREAM_BROKEN, None
+        refusal = Refusal(code, detail, retry_after=retry_after)
         if self._request.is_open:
             refuse(self._request, refusal)
         self._gateway.log.refusal(self._request, self._service, self._upstream, refusal)
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -3,9 +3,10 @@
 import random
 from datetime import timedelta
 
-from ..clocks import Clock
+from ..clocks import Clock, milliseconds
 from ..coordination.member import Member
 from ..fleet import CallerLimits, SplitCounter, Upstream
+from ..keyspace import MapRange
 from ..placement import LoadBoard, RetryBudget
 from ..placement.choice import usual_service_time
 from ..transport import CallerRequest, ConnectionPool
@@ -16,6 +17,10 @@
 
 __all__ = ["Gateway", "RetryRule"]
 
+# Time for which a range is not tried again after its upstream said that it doesn't hold it; about
+# the time to renew a lease whose renewal was lost.
+DISPROVED_FOR = milliseconds(200)
+
 
 class RetryRule:
     """The bound on repeats that all instances share; see `RetryBudget`."""
@@ -54,6 +59,7 @@
         self._exchanges: set[Exchange] = set()
         self._by_service: dict[str, list[Upstream]] = {}
         self._draining_since: dict[str, timedelta] = {}
+        self._disproved: dict[tuple[str, MapRange], timedelta] = {}
         self._on_idle = lambda: None
         self.clock = clock
         self.data_centre = data_centre
@@ -111,6 +117,22 @@
         since = self._draining_since.get(upstream.name)
         return self.clock.now() - since if since is not None else timedelta()
 
+    def disprove(self, service: str, held: MapRange) -> None:
+        """Note that an upstream doesn't hold a range that the map gives it."""
+        self._disproved[service, held] = self.clock.now() + DISPROVED_FOR
+        self.clock.call_later(DISPROVED_FOR, self._forget_disproved)
+
+    def is_disproved(self, service: str, held: MapRange) -> bool:
+        """Return whether an upstream said lately that it doesn't hold a range."""
+        until = self._disproved.get((service, held))
+        return until is not None and self.clock.now() < until
+
+    def _forget_disproved(self) -> None:
+        now = self.clock.now()
+        self._disproved = {held: until for held, until in self._disproved.items() if until > now}
+        for exchange in list(self.waiting):
+            exchange.owners_changed()
+
     def usual_service_s(self, service: str) -> float:
         """Return the usual time of one request at a service, seconds."""
         return usual_service_time(self.board.of(u.name) for u in self.open_upstreams(service))
--- a/laburnumhatch/keyspace/balance.py
+++ b/laburnumhatch/keyspace/balance.py
@@ -4,6 +4,7 @@
 narrow range is moved, as wide as it takes to level two upstreams.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -15,6 +16,9 @@
 SMALLEST_GAP = 0.12
 # Utilisation below which an upstream isn't relieved.
 CALM_UTILISATION = 0.35
+# Standard deviations of the counted requests by which a load has to exceed its fair share. Each
+# move holds up requests for its keys, so chance must not cause any.
+SIGNIFICANCE = 2.0
 # Share of the wanted load that a span has to carry to be worth a move, and may carry at most.
 LEAST_SHARE = 0.4
 MOST_SHARE = 1.15
@@ -43,6 +47,7 @@
     spans: Sequence[OwnedSpan],
     rates: Mapping[int, float],
     capacities: Mapping[UpstreamLife, float],
+    window_s: float,
     most: int,
 ) -> list[KeyMove]:
     """Return moves that level the utilisation of upstreams.
@@ -55,6 +60,8 @@
         Requests a second by key, of the keys seen lately.
     capacities : mapping of UpstreamLife to float
         Requests a second that each usable upstream can run.
+    window_s : float
+        Seconds over which the rates were counted.
     most : int
         Most moves.
     """
@@ -81,6 +88,10 @@
         low = loads[idlest] / capacities[idlest]
         if high - low < SMALLEST_GAP or high < CALM_UTILISATION:
             break
+        fair = capacities[busiest] * sum(loads.values()) / sum(capacities.values())
+        if not _is_significant(loads[busiest] - fair, loads[busiest], window_s):
+            stuck.add(busiest)
+            continue
         wanted = _levelling_rate(
             loads[busiest], capacities[busiest], loads[idlest], capacities[idlest]
         )
@@ -100,6 +111,11 @@
     return moves
 
 
+def _is_significant(excess: float, rate: float, window_s: float) -> bool:
+    """Return whether a rate exceeds its fair share by more than chance."""
+    return excess * window_s > SIGNIFICANCE * math.sqrt(rate * window_s)
+
+
 def _levelling_rate(high: float, high_capacity: float, low: float, low_capacity: float) -> float:
     """Return the rate whose move gives both upstreams the same utilisation."""
     return (high * low_capacity - low * high_capacity) / (high_capacity + low_capacity)
--- a/laburnumhatch/keyspace/lease.py
+++ b/laburnumhatch/keyspace/lease.py
@@ -62,11 +62,11 @@
         Factor by which an upstream's measure of a hold may be long; its protocol says 2 in 100.
     """
 
-    hold: timedelta = milliseconds(3000)
+    hold: timedelta = milliseconds(2400)
     longest_hold: timedelta = milliseconds(10_000)
-    renew_interval: timedelta = milliseconds(700)
+    renew_interval: timedelta = milliseconds(550)
     retry_interval: timedelta = milliseconds(150)
-    order_timeout: timedelta = milliseconds(400)
+    order_timeout: timedelta = milliseconds(300)
     release_timeout: timedelta = milliseconds(2500)
     slow_clock: float = 1.02
 
--- a/laburnumhatch/keyspace/row.py
+++ b/laburnumhatch/keyspace/row.py
@@ -47,7 +47,7 @@
     last_fence: int
     # Name and birth of each upstream that the ranges point to by position.
     lives: list[tuple[str, int]]
-    # First and last key, position of the owner, its token; of the former owner as well, or -1 and 0.
+    # First and last key, the owner's position and token, the former owner's or -1 and 0.
     ranges: list[tuple[int, int, int, int, int, int]]
 
 
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -7,6 +7,7 @@
 from ..clocks import milliseconds
 from ..fleet import Upstream, UpstreamLife
 from .balance import KeyMove, OwnedSpan, plan_moves
+from .key_rates import KeyRates
 from .lease import NEVER, RENEWALS_MISSED, Former, LeaseTiming, Phase, RangeLease, begin_move
 from .ownership_map import MapRange, OwnershipMap
 from .row import ServiceRecord
@@ -23,10 +24,10 @@
 ]
 
 LAST_KEY = 65_535
-# Half-life of the counted requests by key: the busy keys change within seconds.
-RATE_HALF_LIFE = milliseconds(1200)
-# Counted requests below which a key is forgotten.
-FORGOTTEN_COUNT = 0.05
+# Half-lives of the counted requests by key. Busy keys change within seconds, which the short one
+# shows; the long one shows smaller differences that last.
+SHORT_HALF_LIFE = milliseconds(500)
+LONG_HALF_LIFE = milliseconds(2500)
 # Pieces into which the keys of an owner that leaves are cut.
 PIECES_OF_A_LEAVER = 4
 # A range that was moved stays at least this long.
@@ -55,8 +56,8 @@
         Changes that have to be written, counted.
     written : int
         As many of them are in the store.
-    counts : dict of int to float
-        Decayed requests by key.
+    lately, lastingly : KeyRates
+        Requests by key, over a short and a long time.
     first_seen : timedelta or None
         When the first usable upstream was seen.
     """
@@ -68,8 +69,8 @@
     changes: int = 0
     written: int = 0
     map_version: int = 0
-    counts: dict[int, float] = field(default_factory=dict)
-    decayed_at: timedelta = timedelta()
+    lately: KeyRates = field(default_factory=lambda: KeyRates(SHORT_HALF_LIFE))
+    lastingly: KeyRates = field(default_factory=lambda: KeyRates(LONG_HALF_LIFE))
     first_seen: timedelta | None = None
 
     @property
@@ -85,23 +86,8 @@
 
     def count(self, key: int, requests: int, now: timedelta) -> None:
         """Count requests for a key."""
-        self._decay(now)
-        self.counts[key] = self.counts.get(key, 0.0) + requests
-
-    def rates(self, now: timedelta) -> dict[int, float]:
-        """Return the requests a second by key."""
-        self._decay(now)
-        factor = 0.693 / RATE_HALF_LIFE.total_seconds()
-        return {key: count * factor for key, count in self.counts.items()}
-
-    def _decay(self, now: timedelta) -> None:
-        passed = (now - self.decayed_at) / RATE_HALF_LIFE
-        if passed < 0.1:
-            return
-        factor = 0.5 ** min(passed, 60.0)
-        decayed = ((key, count * factor) for key, count in self.counts.items())
-        self.counts = {key: count for key, count in decayed if count > FORGOTTEN_COUNT}
-        self.decayed_at = now
+        self.lately.count(key, requests, now)
+        self.lastingly.count(key, requests, now)
 
 
 def adopt_record(
@@ -125,9 +111,9 @@
     Notes
     -----
     Every recorded owner may hold its keys by a grant that was sent until now, and such a grant may
-    be applied late. Owners are renewed at once under their tokens; before a range is moved its owner
-    is fenced or waited for. A former owner is only told to release: the owner may hold the range
-    already, so that a grant which fences the former would make two.
+    be applied late. Owners are renewed at once under their tokens; before a range is moved its
+    owner is fenced or waited for. A former owner is only told to release: the owner may hold the
+    range already, so that a grant which fences the former would make two.
     """
     latest = timing.end_of_hold(now, hold)
     leases.last_fence = record.last_fence
@@ -224,7 +210,11 @@
         OwnedSpan(lease.first, lease.last, lease.owner, _is_at_rest(lease, now))
         for lease in leases.leases
     ]
-    moves = plan_moves(spans, leases.rates(now), capacities, MOVES_AT_ONCE)
+    moves: list[KeyMove] = []
+    for rates in (leases.lately, leases.lastingly):
+        if not moves:
+            window_s = rates.window_s(now)
+            moves = plan_moves(spans, rates.rates(now), capacities, window_s, MOVES_AT_ONCE)
     for move in moves:
         lease = _cut_out(leases, move.first, move.last)
         begin_move(lease, move.to, leases.take_fences, now)
@@ -306,20 +296,22 @@
 
 def _cut_evenly(leases: ServiceLeases, lease: RangeLease, count: int) -> list[RangeLease]:
     """Cut a lease into parts that carry about the same load."""
-    keys = sorted(k for k in leases.counts if lease.first <= k <= lease.last)
-    total = sum(leases.counts[key] for key in keys)
+    keys = sorted(k for k in leases.lastingly.counts if lease.first <= k <= lease.last)
+    total = sum(leases.lastingly.counts[key] for key in keys)
     parts = [lease]
     carried = 0.0
     for key in keys:
         if len(parts) < count and carried >= total * len(parts) / count and key > parts[-1].first:
             parts.append(_cut_at(leases, parts[-1], key))
-        carried += leases.counts[key]
+        carried += leases.lastingly.counts[key]
     return parts
 
 
 def _load_of(leases: ServiceLeases, lease: RangeLease) -> float:
     width = (lease.last - lease.first + 1) / (LAST_KEY + 1)
-    return width + sum(n for key, n in leases.counts.items() if lease.first <= key <= lease.last)
+    return width + sum(
+        n for key, n in leases.lastingly.counts.items() if lease.first <= key <= lease.last
+    )
 
 
 def _load_by_owner(leases: ServiceLeases, now: timedelta) -> dict[UpstreamLife, float]:
--- a/laburnumhatch/placement/choice.py
+++ b/laburnumhatch/placement/choice.py
@@ -17,8 +17,8 @@
 # Service time of an upstream that has answered nothing yet, where no other of its service has.
 UNKNOWN_SERVICE_S = 0.05
 # Factor on the predicted time at another data centre: its bytes cross a paid link.
-REMOTE_FACTOR = 1.1
-REMOTE_FACTOR_BULKY = 1.6
+REMOTE_FACTOR = 1.15
+REMOTE_FACTOR_BULKY = 2.5
 # Spread of the random factor that keeps instances with the same view from choosing alike.
 JITTER = 0.15
 # Factor on the service time of an upstream that says that it is still slow from its start.
@@ -35,21 +35,18 @@
     predicted_s: float
 
 
-def predict_answer_time(
-    upstream: Upstream, load: UpstreamLoad, usual_s: float, now: timedelta
-) -> float:
+def predict_answer_time(upstream: Upstream, load: UpstreamLoad, usual_s: float) -> float:
     """Return the seconds until a request that is sent now is answered.
 
     Notes
     -----
-    A request beyond the slots waits for its turn. Declined requests have to be sent again, so
-    the time is divided by the share that is taken.
+    A request beyond the slots waits for its turn.
     """
     service = load.service_s or usual_s
     if upstream.warmup_left:
         service = max(service, usual_s * WARMUP_FACTOR)
     turns = max(1.0, (load.in_flight + 1) / upstream.slots)
-    return service * turns / (1.0 - min(load.declined_share(now), MOST_DECLINED))
+    return service * turns
 
 
 def usual_service_time(loads: Iterable[UpstreamLoad]) -> float:
@@ -89,8 +86,10 @@
     best_rank = (True, 0.0)
     for upstream in candidates:
         load = load_of(upstream.name)
-        predicted = predict_answer_time(upstream, load, usual, now)
-        weighed = predicted * (1.0 + JITTER * source.random())
+        predicted = predict_answer_time(upstream, load, usual)
+        # A declined request has to be sent again, perhaps in vain.
+        taken = 1.0 - min(load.declined_share(now), MOST_DECLINED)
+        weighed = predicted / taken * (1.0 + JITTER * source.random())
         if upstream.data_centre != data_centre:
             weighed *= remote
         rank = (now < load.avoid_until, weighed)
--- a/laburnumhatch/platform/headers.py
+++ b/laburnumhatch/platform/headers.py
@@ -7,6 +7,7 @@
     "EXPECTED_UPSTREAM",
     "HANDOVER",
     "KEY",
+    "MISDIRECTED",
     "NOT_RUN",
     "REQUEST_ID",
     "SEAL",
@@ -34,6 +35,7 @@
 HANDOVER = b"x-handover"
 
 LAST_KEY = 65_535
+# Status of an upstream that is not the expected one, or doesn't hold the request's key.
 MISDIRECTED = 421
 
 
--- a/laburnumhatch/platform/store.py
+++ b/laburnumhatch/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..clocks import Clock, milliseconds
+from ..clocks.duration_text import parse_duration
 from ..coordination.store import (
     Committed,
     Expectation,
@@ -41,6 +42,8 @@
 
 class _Rows(msgspec.Struct):
     rows: list[_Row]
+    # What the store's steady clock shows.
+    now: str
     # Whether rows are missing at the end.
     truncated: bool = False
 
@@ -67,6 +70,7 @@
 
 class _Done(msgspec.Struct):
     ver: int
+    now: str
 
 
 class _Refused(msgspec.Struct):
@@ -113,7 +117,7 @@
                 return page
             rows += [_stored(row) for row in page.rows]
             if not page.truncated or not page.rows:
-                return RowsRead(tuple(rows))
+                return RowsRead(tuple(rows), parse_duration(page.now))
             start = page.rows[-1].key + "\0"
 
     async def read_row(self, table: str, key: str) -> RowsRead | NotDone | Unanswered:
@@ -123,7 +127,7 @@
         )
         if not isinstance(page, _Rows):
             return page
-        return RowsRead(tuple(_stored(row) for row in page.rows))
+        return RowsRead(tuple(_stored(row) for row in page.rows), parse_duration(page.now))
 
     async def write(
         self, expected: Sequence[Expectation], rows: Sequence[NewRow]
@@ -140,7 +144,8 @@
             return reply
         try:
             if reply.status == OK:
-                return Committed(msgspec.json.decode(reply.body, type=_Done).ver)
+                done = msgspec.json.decode(reply.body, type=_Done)
+                return Committed(done.ver, parse_duration(done.now))
             if reply.status == CONDITION_FAILED:
                 refused = msgspec.json.decode(reply.body, type=_Refused)
                 return Rejected(tuple(_stored(row) for row in refused.rows))
@@ -156,8 +161,10 @@
         if reply.status != OK:
             return self._unexpected(reply)
         try:
-            return msgspec.json.decode(reply.body, type=_Rows)
-        except msgspec.MsgspecError as e:
+            page = msgspec.json.decode(reply.body, type=_Rows)
+            parse_duration(page.now)
+            return page
+        except (msgspec.MsgspecError, ValueError) as e:
             return Unanswered(f"the answer can't be read: {e}")
 
     async def _call(self, method: bytes, path: str, body: bytes) -> Reply | NotDone | Unanswered:
--- /dev/null
+++ b/laburnumhatch/transport/tests/test_inbound.py
@@ -0,0 +1,151 @@
+"""Callers' connections: limits, framing, and what a close means."""
+
+import pytest
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
+from ...clocks import milliseconds
+from ...fleet import CallerLimits
+from ..inbound import CallerFactory
+
+GET = b"GET /a/b?c HTTP/1.1\r\nHost: h.example\r\nX-One: 1\r\n\r\n"
+
+
+class Server:
+    """A server that keeps its requests until the test answers them."""
+
+    def __init__(self, clock, new_transport, limits=None):
+        self.requests = []
+        self.limits = limits or CallerLimits(header_bytes=1000, body_bytes=100)
+        self.factory = CallerFactory(clock, self.requests.append, lambda: self.limits)
+        self.transport = new_transport()
+        self.connection = self.factory.buildProtocol(None)
+        self.connection.makeConnection(self.transport)
+
+    def sent(self):
+        """Return and forget what the caller got."""
+        content = self.transport.value()
+        self.transport.clear()
+        return content
+
+
+@pytest.fixture
+def server(clock, new_transport):
+    """A server with one connection."""
+    return Server(clock, new_transport)
+
+
+def test_a_request_is_handed_over_whole_and_answered(server):
+    server.connection.dataReceived(GET[:20])
+    assert server.requests == []
+    server.connection.dataReceived(GET[20:])
+    (request,) = server.requests
+    assert (request.method, request.target) == (b"GET", b"/a/b?c")
+    request.answer(200, [(b"x-two", b"2")], b"hello")
+    assert server.sent().endswith(b"\r\n\r\nhello")
+
+
+def test_requests_of_one_connection_are_answered_in_turn(server):
+    server.connection.dataReceived(GET + GET)
+    assert len(server.requests) == 1
+    server.requests[0].answer(200, [], b"one")
+    assert len(server.requests) == 2
+    server.requests[1].answer(200, [], b"two")
+    sent = server.sent()
+    assert sent.index(b"one") < sent.index(b"two")
+
+
+def test_two_framings_are_refused(server):
+    server.connection.dataReceived(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+    )
+    assert server.requests == []
+    assert server.sent().startswith(b"HTTP/1.1 400")
+
+
+def test_two_lengths_are_refused(server):
+    server.connection.dataReceived(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"
+    )
+    assert server.requests == []
+    assert server.sent().startswith(b"HTTP/1.1 400")
+
+
+def test_a_header_that_is_too_long_is_refused(server):
+    server.connection.dataReceived(b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 2000)
+    assert server.sent().startswith(b"HTTP/1.1 431")
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" + b"a" * 128,
+    ],
+    ids=["length", "chunks"],
+)
+def test_a_body_that_is_too_large_is_refused(server, request_bytes):
+    server.connection.dataReceived(request_bytes)
+    assert server.requests == []
+    assert server.sent().startswith(b"HTTP/1.1 413")
+
+
+def test_a_slow_header_is_refused(server, clock):
+    server.connection.dataReceived(GET[:10])
+    clock.advance(server.limits.header_timeout)
+    assert server.sent().startswith(b"HTTP/1.1 408")
+
+
+def test_an_idle_connection_is_closed_without_a_word(server, clock):
+    server.connection.dataReceived(GET)
+    server.requests[0].answer(200, [], b"")
+    server.sent()
+    clock.advance(server.limits.idle_timeout - milliseconds(1))
+    assert not server.transport.disconnecting
+    clock.advance(milliseconds(1))
+    assert server.transport.disconnecting and server.sent() == b""
+
+
+def test_the_close_of_a_caller_is_told(server):
+    server.connection.dataReceived(GET)
+    left = []
+    server.requests[0].on_left = lambda: left.append(True)
+    server.connection.connectionLost(Failure(ConnectionDone()))
+    assert left == [True]
+    assert not server.requests[0].is_open
+
+
+def test_a_stopping_server_ends_each_connection_with_its_answer(server):
+    server.connection.dataReceived(GET)
+    server.factory.is_stopping = True
+    server.requests[0].answer(200, [], b"last")
+    assert b"connection: close" in server.sent().lower()
+    assert server.transport.disconnecting
+
+
+def test_an_answer_without_length_goes_out_in_chunks(server):
+    server.connection.dataReceived(GET)
+    request = server.requests[0]
+    request.begin(200, [], None)
+    request.write(b"abc")
+    request.end()
+    assert server.sent().endswith(b"3\r\nabc\r\n0\r\n\r\n")
+
+
+def test_an_answer_that_breaks_off_does_not_look_whole(server):
+    server.connection.dataReceived(GET)
+    request = server.requests[0]
+    request.begin(200, [], 10)
+    request.write(b"abc")
+    request.break_off()
+    assert server.transport.is_aborted
+
+
+def test_a_caller_that_waits_is_told_to_continue(server):
+    server.connection.dataReceived(
+        b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+    )
+    assert server.sent().startswith(b"HTTP/1.1 100")
+    server.connection.dataReceived(b"abc")
+    assert server.requests[0].body == b"abc"
