--- /dev/null
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -0,0 +1,222 @@
+"""A gateway over a pool in memory; the tests play its callers and upstreams."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+
+from ...clocks import milliseconds
+from ...fleet import (
+    CallerLimits,
+    Repetition,
+    Route,
+    RouteTable,
+    ServiceRule,
+    SplitPart,
+    Upstream,
+    UpstreamKnowledge,
+    UpstreamLife,
+)
+from ...keyspace import MapRange, OwnershipMap
+from ...placement import LoadBoard
+from ...platform.headers import DEADLINE, KEY, NOT_RUN, REQUEST_ID, SEAL
+from ...transport import CallFailure, FailureKind
+from ..gateway import Gateway, RetryRule
+
+
+class FakeRequest:
+    """A caller's request that keeps its answer."""
+
+    def __init__(self, clock, method=b"GET", path=b"/safe/x", fields=(), body=b""):
+        self.method, self.target, self.body = method, path, body
+        self.fields = [(b"host", b"h.example"), (REQUEST_ID, b"a1"), (DEADLINE, b"2000"), *fields]
+        self.received_at = clock.now()
+        self.on_left = lambda: None
+        self.status = None
+        self.answer_fields = []
+        self.content = b""
+        self.is_whole = False
+        self.is_broken = False
+
+    @property
+    def is_open(self):
+        return not self.is_whole and not self.is_broken
+
+    def answer(self, status, fields, body):
+        self.begin(status, fields, len(body))
+        self.write(body)
+        self.end()
+
+    def begin(self, status, fields, length):
+        assert self.status is None
+        self.status, self.answer_fields = status, list(fields)
+
+    def write(self, data):
+        self.content += data
+
+    def end(self):
+        assert not self.is_whole
+        self.is_whole = True
+
+    def break_off(self):
+        self.is_broken = True
+
+    def throttle(self, pause, resume):
+        pass
+
+
+@dataclass
+class Sent:
+    """A request on its way to an upstream."""
+
+    address: tuple
+    request: object
+    receiver: object
+    is_aborted: bool = False
+    is_dropped: bool = False
+    connection: object = None
+
+    def abort(self):
+        self.is_aborted = True
+
+    def drop_answer(self):
+        self.is_dropped = True
+
+    def pause(self):
+        pass
+
+    def resume(self):
+        pass
+
+    def succeed(self, body=b"fine", fields=()):
+        """Answer with a sealed success."""
+        self.receiver.began(200, [(SEAL, b"s"), (REQUEST_ID, b"a1"), *fields], len(body))
+        self.receiver.received(body)
+        self.receiver.ended()
+
+    def answer(self, status, fields=((SEAL, b"s"),), body=b""):
+        """Answer with a status."""
+        self.receiver.began(status, [(REQUEST_ID, b"a1"), *fields], len(body))
+        self.receiver.received(body)
+        self.receiver.ended()
+
+    def decline(self, status=503):
+        """Say that the request did not run."""
+        self.answer(status, [(NOT_RUN, b"1")])
+
+    def lose(self):
+        """Lose the connection after the request went out."""
+        self.receiver.failed(CallFailure(FailureKind.LOST, False, "lost"))
+
+    def refuse_connection(self):
+        """Refuse the connection."""
+        self.receiver.failed(CallFailure(FailureKind.REFUSED, True, "refused"))
+
+
+@dataclass
+class FakePool:
+    """Keeps what is sent; connections are open at once unless told otherwise."""
+
+    sent: list = field(default_factory=list)
+    opens_at_once: bool = True
+    opened: int = 0
+
+    def send(self, host, port, request, receiver, longest_idle=None):
+        made = request() if self.opens_at_once else None
+        call = Sent((host, port), made, receiver)
+        call.connection = call if self.opens_at_once else None
+        self.sent.append(call)
+        return call
+
+    def close_idle(self, address):
+        pass
+
+    @property
+    def last(self):
+        return self.sent[-1]
+
+
+def make_upstream(name, service="plain", slots=2, is_draining=False):
+    """Return an upstream whose port follows from its name."""
+    return Upstream(
+        UpstreamLife(name, 1),
+        service,
+        "127.0.0.1",
+        8000 + int(name[1:]),
+        "lade",
+        slots,
+        is_draining,
+        timedelta(),
+    )
+
+
+def make_route(name, repetition=Repetition.ANY_NUMBER, service="plain", most=2):
+    """Return a route of the path ``/NAME/``."""
+    return Route(
+        name,
+        "h.example",
+        f"/{name}/",
+        repetition,
+        False,
+        milliseconds(1000),
+        milliseconds(300),
+        1,
+        most,
+        (SplitPart(service, 1.0),),
+    )
+
+
+class World:
+    """The gateway and what is around it."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.pool = FakePool()
+        self.knowledge = UpstreamKnowledge()
+        routes = (
+            make_route("safe"),
+            make_route("unsafe", Repetition.AT_MOST_ONCE),
+            make_route("keyed", service="keyed"),
+        )
+        services = {
+            "plain": ServiceRule("plain", 110, False),
+            "keyed": ServiceRule("keyed", 110, True),
+        }
+        table = RouteTable.from_routes(1, routes, services, CallerLimits())
+        self.member = SimpleNamespace(
+            routes=table, knowledge=self.knowledge, maps={}, instances=1, is_leader=False
+        )
+        self.gateway = Gateway(
+            clock=clock,
+            data_centre="lade",
+            member=self.member,
+            board=LoadBoard(),
+            pool=self.pool,
+            retry_rule=RetryRule(timedelta(seconds=10), 0.2, 56),
+        )
+        self.set_upstreams(make_upstream("u1"), make_upstream("u2"), make_upstream("u3", "keyed"))
+
+    def set_upstreams(self, *upstreams):
+        """Let the registry hold these upstreams."""
+        self.knowledge.adopt(upstreams, self.clock.now())
+        self.gateway.refresh()
+
+    def set_owner(self, name, is_held=True):
+        """Let one upstream own all keys."""
+        owner = UpstreamLife(name, 1)
+        self.member.maps["keyed"] = OwnershipMap("keyed", 1, (MapRange(0, 65_535, owner, is_held),))
+        self.gateway.refresh()
+
+    def ask(self, path=b"/safe/x", **options):
+        """Send a caller's request."""
+        fields = ((KEY, b"7"),) if path.startswith(b"/keyed") else ()
+        request = FakeRequest(self.clock, path=path, fields=fields, **options)
+        self.gateway.handle(request)
+        return request
+
+
+@pytest.fixture
+def world(clock):
+    """A gateway with two plain upstreams and a keyed one."""
+    return World(clock)
