Compare few upstreams, wait on new connections, keep connections for orders

Ruled out: a bound on idle connections (the resets come from long queues, not from the cap of 450). Change: a choice compares 40 upstreams over all instances and at least 3; a request waits 6 ms on a new connection, in which a reset proves that it has not run; orders about leases have a pool of their own; moves at once grow with the upstreams; connections idle for 250 ms carry no request that may run once.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -30,8 +30,9 @@
 REPORT_INTERVAL = milliseconds(250)
 # Changes that come within this time are told together.
 NEWS_DELAY = milliseconds(10)
-# Pause before a try to lead for each core that a machine has less than one: the strong lead.
-RELUCTANCE_A_CORE = milliseconds(500)
+# Cores that leading many upstreams takes, and the pause before a try to lead for each core less.
+CORES_TO_LEAD = 0.8
+RELUCTANCE_A_CORE = milliseconds(1500)
 # Lives of upstreams whose address is remembered.
 REMEMBERED_LIVES = 2000
 # A leader that resigns lets moves end for this long.
@@ -318,7 +319,7 @@
         return waited and now - self._writer.sent >= self._takeover_pause
 
     def _reluctance(self) -> timedelta:
-        return RELUCTANCE_A_CORE * max(0.0, 1.0 - self._setup.cores)
+        return RELUCTANCE_A_CORE * max(0.0, CORES_TO_LEAD - self._setup.cores)
 
     def _begin_to_lead(self) -> None:
         record = self._leadership.record
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -74,7 +74,8 @@
             store=self._store,
             sources=platform_sources(self._store),
             links=self._links,
-            sender=PlatformOrderSender(caller),
+            # An upstream whose queue is long resets new connections; the orders keep their own.
+            sender=PlatformOrderSender(HttpCaller(ConnectionPool(reactor, clock), clock)),
             board=board,
             on_change=lambda: self._gateway.refresh(),
             lease_timing=LeaseTiming(longest_hold=parse_duration(settings.longest_hold)),
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -48,7 +48,10 @@
 DEFAULT_DEADLINE = timedelta(seconds=10)
 # Idle connections that carry a request which may not be repeated were used this lately: a close on
 # its way would leave it unknown whether the request ran.
-LONGEST_IDLE_UNREPEATABLE = milliseconds(1500)
+LONGEST_IDLE_UNREPEATABLE = milliseconds(250)
+# Wait on a new connection before a request goes out: two round trips between data centres, in which
+# an upstream that takes no more connections resets it.
+SETTLING = milliseconds(6)
 # Time for which an upstream that announced its shutdown still gets requests for keys that it holds.
 DRAINING_OWNER_GRACE = milliseconds(700)
 
@@ -203,6 +206,7 @@
             gateway.board.of,
             gateway.data_centre,
             self._route.is_bulky,
+            gateway.member.instances,
             gateway.clock.now(),
             gateway.random,
         )
@@ -235,15 +239,13 @@
         load.own += 1
         self._turns = max(1.0, load.in_flight / upstream.slots)
         self._sent_at = None
-        call: dict[str, PooledCall] = {}
-        longest_idle = LONGEST_IDLE_UNREPEATABLE
-        if self._route.is_repeatable:
-            longest_idle = gateway.longest_idle
-        call["call"] = gateway.pool.send(
-            upstream.host, upstream.port, self._outbound, self, longest_idle
+        is_repeatable = self._route.is_repeatable
+        longest_idle = gateway.longest_idle if is_repeatable else LONGEST_IDLE_UNREPEATABLE
+        call = gateway.pool.send(
+            upstream.host, upstream.port, self._outbound, self, longest_idle, SETTLING
         )
         if self._state is _State.SENT and self._upstream is upstream:
-            self._call = call["call"]
+            self._call = call
 
     def _outbound(self) -> OutboundRequest | None:
         """Return the request as it goes out now."""
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -122,7 +122,7 @@
     opens_at_once: bool = True
     opened: int = 0
 
-    def send(self, host, port, request, receiver, longest_idle=None):
+    def send(self, host, port, request, receiver, longest_idle=None, settle=None):
         made = request() if self.opens_at_once else None
         call = Sent((host, port), made, receiver)
         call.connection = call if self.opens_at_once else None
--- a/laburnumhatch/keyspace/balance.py
+++ b/laburnumhatch/keyspace/balance.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from bisect import bisect_left, bisect_right
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -127,7 +128,7 @@
     """Return the first and last key, the rate and the span of the best piece to move."""
     best: tuple[int, int, float, OwnedSpan] | None = None
     for span in spans:
-        inside = [key for key in keys if span.first <= key <= span.last]
+        inside = keys[bisect_left(keys, span.first) : bisect_right(keys, span.last)]
         start, total = 0, 0.0
         for end, key in enumerate(inside):
             total += rates[key]
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -32,7 +32,9 @@
 PIECES_OF_A_LEAVER = 4
 # A range that was moved stays at least this long.
 REST_AFTER_MOVE = milliseconds(900)
+# Moves that begin together: at least so many, and one for so many upstreams.
 MOVES_AT_ONCE = 5
+UPSTREAMS_A_MOVE = 4
 # Leases for each upstream beyond which neighbours with one owner are merged.
 LEASES_PER_UPSTREAM = 3
 # An upstream that answered any request this lately is alive, whatever its grants say.
@@ -211,10 +213,11 @@
         for lease in leases.leases
     ]
     moves: list[KeyMove] = []
+    most = max(MOVES_AT_ONCE, len(capacities) // UPSTREAMS_A_MOVE)
     for rates in (leases.lately, leases.lastingly):
         if not moves:
             window_s = rates.window_s(now)
-            moves = plan_moves(spans, rates.rates(now), capacities, window_s, MOVES_AT_ONCE)
+            moves = plan_moves(spans, rates.rates(now), capacities, window_s, most)
     for move in moves:
         lease = _cut_out(leases, move.first, move.last)
         begin_move(lease, move.to, leases.take_fences, now)
--- a/laburnumhatch/placement/choice.py
+++ b/laburnumhatch/placement/choice.py
@@ -19,6 +19,9 @@
 # Factor on the predicted time at another data centre: its bytes cross a paid link.
 REMOTE_FACTOR = 1.15
 REMOTE_FACTOR_BULKY = 2.5
+# Upstreams that one choice compares: as many as this over all instances, and at least so many.
+COMPARED_BY_ALL = 40
+FEWEST_COMPARED = 3
 # Spread of the random factor that keeps instances with the same view from choosing alike.
 JITTER = 0.15
 # Factor on the service time of an upstream that says that it is still slow from its start.
@@ -49,6 +52,25 @@
     return service * turns
 
 
+def _draw(
+    candidates: Collection[Upstream],
+    load_of: Callable[[str], UpstreamLoad],
+    data_centre: str,
+    instances: int,
+    now: timedelta,
+    source: random.Random,
+) -> list[Upstream]:
+    """Return some reachable upstreams, half of them near where there are any."""
+    reachable = [u for u in candidates if now >= load_of(u.name).avoid_until]
+    if not reachable:
+        return list(candidates)
+    near = [u for u in reachable if u.data_centre == data_centre]
+    count = max(FEWEST_COMPARED, round(COMPARED_BY_ALL / instances))
+    drawn = source.sample(near, min(len(near), (count + 1) // 2))
+    others = [u for u in reachable if u not in drawn]
+    return drawn + source.sample(others, min(len(others), count - len(drawn)))
+
+
 def usual_service_time(loads: Iterable[UpstreamLoad]) -> float:
     """Return the median service time of a service's upstreams, seconds."""
     known = sorted(load.service_s for load in loads if load.service_s)
@@ -60,6 +82,7 @@
     load_of: Callable[[str], UpstreamLoad],
     data_centre: str,
     is_bulky: bool,
+    instances: int,
     now: timedelta,
     source: random.Random,
 ) -> Choice | None:
@@ -75,12 +98,24 @@
         Of this instance.
     is_bulky : bool
         Whether the answer is large.
+    instances : int
+        Instances that choose at the same time.
     now : timedelta
     source : random.Random
+
+    Notes
+    -----
+    Only a few upstreams are compared, drawn at random: with what is known of the other instances'
+    requests a moment old, all would choose the same idle one [1]_. The more instances, the fewer.
+
+    References
+    ----------
+    .. [1] M. Mitzenmacher, How useful is old information?, 2000.
     """
     if not candidates:
         return None
     usual = usual_service_time(load_of(u.name) for u in candidates)
+    candidates = _draw(candidates, load_of, data_centre, instances, now, source)
     remote = REMOTE_FACTOR_BULKY if is_bulky else REMOTE_FACTOR
     best: Choice | None = None
     best_rank = (True, 0.0)
--- a/laburnumhatch/transport/pool.py
+++ b/laburnumhatch/transport/pool.py
@@ -67,16 +67,19 @@
         call: PooledCall,
         request: Callable[[], OutboundRequest | None],
         receiver: AnswerReceiver,
+        settle: timedelta,
     ) -> None:
         self._pool = pool
         self._address = address
         self._call = call
         self._request = request
         self._receiver = receiver
+        self._settle = settle
+        self._is_settled = False
 
     def buildProtocol(self, addr: Any) -> OutboundConnection:
         pool, address = self._pool, self._address
-        return _Connection(self._opened, lambda c: pool.put_back(address, c), pool.forget)
+        return _Connection(self._opened, lambda c: pool.put_back(address, c), self._gone)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
         if self._call.is_over:
@@ -92,6 +95,22 @@
             connection.abort()
             return
         self._call.connection = connection
+        if self._settle:
+            self._pool.clock.call_later(self._settle, self._send, connection)
+        else:
+            self._send(connection)
+
+    def _gone(self, connection: OutboundConnection) -> None:
+        self._pool.forget(connection)
+        if not self._is_settled and not self._call.is_over:
+            self._call.is_over = True
+            reason = "the connection was reset before anything was sent"
+            self._receiver.failed(CallFailure(FailureKind.UNREACHABLE, True, reason))
+
+    def _send(self, connection: OutboundConnection) -> None:
+        if self._call.is_over:
+            return
+        self._is_settled = True
         request = self._request()
         if request is None:
             # Nothing is sent any more; the new connection is kept for others.
@@ -123,13 +142,14 @@
 
     Attributes
     ----------
+    clock : Clock
     opened : int
         Connections that were opened so far.
     """
 
     def __init__(self, reactor: Any, clock: Clock) -> None:
         self._reactor = reactor
-        self._clock = clock
+        self.clock = clock
         self._idle: dict[Address, list[tuple[timedelta, timedelta, OutboundConnection]]] = {}
         self._is_closed = False
         self.opened = 0
@@ -142,6 +162,7 @@
         request: Callable[[], OutboundRequest | None],
         receiver: AnswerReceiver,
         longest_idle: timedelta = IDLE_LIMIT,
+        settle: timedelta = timedelta(),
     ) -> PooledCall:
         """Send a request on an idle connection or on a new one.
 
@@ -154,6 +175,9 @@
         receiver : AnswerReceiver
         longest_idle : timedelta, optional
             Connections that were idle for longer are not used.
+        settle : timedelta, optional
+            Wait on a new connection before the request goes out: an upstream that takes no further
+            connections resets it meanwhile, and then the request has certainly not run.
         """
         address = (host, port)
         connection = self._take(address, longest_idle)
@@ -167,7 +191,7 @@
             return call
         self.opened += 1
         call = PooledCall(is_new_connection=True)
-        factory = _Opening(self, address, call, request, receiver)
+        factory = _Opening(self, address, call, request, receiver, settle)
         call.connector = self._reactor.connectTCP(
             host, port, factory, timeout=CONNECT_TIMEOUT.total_seconds()
         )
@@ -182,7 +206,7 @@
         if connection.idle_limit_s is not None:
             limit = min(limit, timedelta(seconds=connection.idle_limit_s * ANNOUNCED_SHARE))
         idle = self._idle.setdefault(address, [])
-        idle.append((self._clock.now(), limit, connection))
+        idle.append((self.clock.now(), limit, connection))
 
     def forget(self, connection: OutboundConnection) -> None:
         """Drop a connection that is gone."""
@@ -205,7 +229,7 @@
 
     def _take(self, address: Address, longest_idle: timedelta) -> OutboundConnection | None:
         idle = self._idle.get(address)
-        now = self._clock.now()
+        now = self.clock.now()
         while idle:
             since, limit, connection = idle[-1]
             if now - since > min(limit, longest_idle):
@@ -219,7 +243,7 @@
     def _sweep(self) -> None:
         if self._is_closed:
             return
-        now = self._clock.now()
+        now = self.clock.now()
         for address, idle in list(self._idle.items()):
             expired = [entry for entry in idle if now - entry[0] > entry[1]]
             self._idle[address] = [entry for entry in idle if now - entry[0] <= entry[1]]
@@ -227,4 +251,4 @@
                 connection.abort()
             if not self._idle[address]:
                 del self._idle[address]
-        self._clock.call_later(SWEEP_INTERVAL, self._sweep)
+        self.clock.call_later(SWEEP_INTERVAL, self._sweep)
