Record when a former owner's lease ends

Ruled out: trusting an answered release (a planted fault of the lease world); shorter waits by guess. Change: the record carries what the store's clock shows when the former owner's last lease has ended, as granted; a successor waits for that, or for a fencing grant, whichever is later. A move for balance takes 2,048 keys at most. Looks at the leader's row are rarer while its authority lasts. The lease world finds a successor that doesn't wait.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -32,10 +32,11 @@
     rebalance,
     replace_unusable_owners,
 )
-from ..placement.choice import usual_service_time
+from ..placement.choice import plausible_service_time, usual_service_time
 from ..placement.loads import LoadBoard
 from .leadership import Leadership
 from .store import Expectation, NewRow, StoredRow
+from .store_clock import StoreClock
 
 __all__ = ["Leader", "OrderSender"]
 
@@ -85,6 +86,7 @@
         Takes each `OwnershipMap` that changed.
     on_change : callable
         Called when there is something to write.
+    store_clock : StoreClock
     timing : LeaseTiming
     """
 
@@ -98,6 +100,7 @@
         addresses: Mapping[UpstreamLife, tuple[str, int]],
         on_map: Callable[[OwnershipMap], None],
         on_change: Callable[[], None],
+        store_clock: StoreClock,
         timing: LeaseTiming,
     ) -> None:
         self._clock = clock
@@ -107,6 +110,7 @@
         self._addresses = addresses
         self._on_map = on_map
         self._on_change = on_change
+        self._store_clock = store_clock
         self._timing = timing
         self._upstreams: Mapping[str, Upstream] = {}
         self._unreachable: dict[UpstreamLife, timedelta] = {}
@@ -152,7 +156,14 @@
         for row in rows:
             leases = ServiceLeases(row.key, row_version=row.version)
             try:
-                adopt_record(leases, decode_record(row.value), self._timing, hold, now)
+                adopt_record(
+                    leases,
+                    decode_record(row.value),
+                    self._timing,
+                    hold,
+                    self._store_clock.passed_by,
+                    now,
+                )
             except ValueError as e:
                 _log.error("the record of service {} can't be read: {}", row.key, e)
                 continue
@@ -192,7 +203,7 @@
         expected, rows, covered = [], [], {}
         for leases in self.services.values():
             if leases.is_dirty:
-                record = record_of(leases.last_fence, leases.leases)
+                record = record_of(leases.last_fence, leases.leases, self._store_clock.at_most)
                 expected.append(Expectation("keys", leases.service, leases.row_version))
                 rows.append(NewRow("keys", leases.service, encode_record(record)))
                 covered[leases.service] = leases.changes
@@ -282,7 +293,7 @@
         capacities = {}
         for life, upstream in usable.items():
             load = self._board.of(upstream.name)
-            service = load.service_s or usual
+            service = plausible_service_time(load.service_s, usual)
             # A slow upstream needs more spare room to answer within the goal.
             capacity = upstream.slots / service * (usual / service) ** SLOWNESS_EXPONENT
             if upstream.warmup_left:
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -20,6 +20,7 @@
 from .messages import LoadReport, News, Totals
 from .reader import KEYS_TABLE, LEADER_KEY, OLDEST_NEWS, ReadHandlers, Sources, StoreReader
 from .store import RowsRead, RowStore, StoredRow
+from .store_clock import StoreClock
 from .totals import pack_totals, unpack_totals
 from .writer import LeadWriter
 
@@ -114,6 +115,7 @@
         self._timing = leadership_timing or LeadershipTiming()
         self._lease_timing = lease_timing or LeaseTiming()
         self._leadership = Leadership(setup.name, self._timing)
+        self._store_clock = StoreClock()
         self._reader = StoreReader(
             clock,
             store,
@@ -134,6 +136,7 @@
             host=setup.host,
             port=setup.port,
             lease_timing=self._lease_timing,
+            store_clock=self._store_clock,
             on_row=self._saw_leader,
             on_lead=self._begin_to_lead,
         )
@@ -205,7 +208,11 @@
     def _tick(self) -> None:
         now = self._clock.now()
         leads = self._leader is not None
-        self._reader.read_where_old(leads=leads, heard_leader=self._heard_leader)
+        self._reader.read_where_old(
+            leads=leads,
+            heard_leader=self._heard_leader,
+            leader_may_act=not self._leadership.may_take_over(now),
+        )
         if not leads:
             self._board.forget_old_news(now)
         if not self._is_stopping:
@@ -241,7 +248,7 @@
     def _take_leader(
         self, row: StoredRow | None, store_time: timedelta | None, sent: timedelta
     ) -> None:
-        self._writer.note_store_time(store_time, sent)
+        self._store_clock.note(store_time, sent, self._clock.now())
         self._saw_leader(row, store_time)
 
     def _take_owners(self, rows: Iterable[StoredRow]) -> None:
@@ -332,6 +339,7 @@
             addresses=self._addresses,
             on_map=self._map_changed,
             on_change=self._writer.write,
+            store_clock=self._store_clock,
             timing=self._lease_timing,
         )
         self._broadcaster.forget_all()
--- a/laburnumhatch/coordination/reader.py
+++ b/laburnumhatch/coordination/reader.py
@@ -21,8 +21,10 @@
 OLDEST_NEWS = milliseconds(1100)
 # Between two reads of a member that reads for itself.
 MEMBER_READ_INTERVAL = milliseconds(500)
-# Between two looks at the leader's row where the leader isn't heard.
+# Between two looks at the leader's row where the leader isn't heard; longer while it may have
+# authority.
 LOOK_INTERVAL = milliseconds(300)
+LONG_LOOK_INTERVAL = milliseconds(600)
 LONG_AGO = timedelta(days=-1)
 
 LEADER_TABLE = "leader"
@@ -102,7 +104,7 @@
         self.configuration_row = 0
         self.is_well = True
 
-    def read_where_old(self, *, leads: bool, heard_leader: timedelta) -> None:
+    def read_where_old(self, *, leads: bool, heard_leader: timedelta, leader_may_act: bool) -> None:
         """Start the reads that are due.
 
         Parameters
@@ -111,6 +113,8 @@
             Whether this member leads.
         heard_leader : timedelta
             When the leader was last heard.
+        leader_may_act : bool
+            Whether the leader's authority may last.
         """
         now = self._clock.now()
         oldest = LEADER_READ_INTERVAL if leads else OLDEST_NEWS
@@ -120,7 +124,8 @@
             self.read_configuration()
         if leads or now - heard_leader < OLDEST_NEWS:
             return
-        pause = LOOK_INTERVAL * (0.8 + 0.4 * self._source.random())
+        interval = LONG_LOOK_INTERVAL if leader_may_act else LOOK_INTERVAL
+        pause = interval * (0.8 + 0.4 * self._source.random())
         self._read("leader", self._look_at_leader, pause)
         if now - self.owners_at >= OLDEST_NEWS:
             self._read("owners", self._read_owners, MEMBER_READ_INTERVAL)
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -21,6 +21,7 @@
     StoredRow,
     Unanswered,
 )
+from .store_clock import StoreClock
 
 __all__ = ["LeadWriter"]
 
@@ -45,6 +46,7 @@
     port : int
         Where this member takes streams.
     lease_timing : LeaseTiming
+    store_clock : StoreClock
     on_row : callable
         Takes the leader's row, or None, where a write was rejected.
     on_lead : callable
@@ -70,6 +72,7 @@
         host: str,
         port: int,
         lease_timing: LeaseTiming,
+        store_clock: StoreClock,
         on_row: Callable[[StoredRow | None], None],
         on_lead: Callable[[], None],
     ) -> None:
@@ -80,6 +83,7 @@
         self._host = host
         self._port = port
         self._lease_timing = lease_timing
+        self._store_clock = store_clock
         self._on_row = on_row
         self._on_lead = on_lead
         self._writes = 0
@@ -87,7 +91,6 @@
         self._pending: dict[int, tuple[timedelta, Mapping[str, int]]] = {}
         self._is_writing = False
         self._is_stopped = False
-        self._store_time: tuple[timedelta, timedelta] | None = None
         self.leader: Leader | None = None
         self.assumed_hold = lease_timing.longest_hold
         self.sent = LONG_AGO
@@ -101,11 +104,6 @@
         writing.addErrback(lambda f: _log.error("a write failed: {}", f.getTraceback()))
         writing.addBoth(lambda _: self._write_over())
 
-    def note_store_time(self, time: timedelta | None, sent: timedelta) -> None:
-        """Take what the store's clock showed in the answer to a call that was sent at `sent`."""
-        if time is not None:
-            self._store_time = (time, sent)
-
     def settle(self, row: StoredRow, write: int) -> None:
         """Take a row of this member, whose write's answer may have been lost."""
         if write in self._pending:
@@ -151,7 +149,7 @@
         match result:
             case Committed(version=version, time=time):
                 self._reader.note(True)
-                self.note_store_time(time, sent)
+                self._store_clock.note(time, sent, self._clock.now())
                 if write in self._pending:
                     self._acknowledge(StoredRow(LEADER_KEY, rows[0].value, version), write)
             case Rejected(rows=found):
@@ -170,17 +168,10 @@
             self._writes,
             resign=resign,
             long_holds=self.leader is not None and self.leader.has_long_holds,
-            renewed_by=self._latest_store_time(),
+            renewed_by=self._store_clock.at_most(self._clock.now()),
         )
         return encode_leader(record)
 
-    def _latest_store_time(self) -> timedelta | None:
-        """Return what the store's clock shows now at most."""
-        if self._store_time is None:
-            return None
-        time, sent = self._store_time
-        return time + (self._clock.now() - sent)
-
     def _hold_to_assume(self) -> timedelta:
         record = self._leadership.record
         if record is None or (record.has_resigned and not record.long_holds):
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -99,7 +99,9 @@
         self._callers_port = self._listen(address(settings.callers), self._callers)
         ready = CallerFactory(self._clock, readiness_page(self._is_ready), self._gateway.limits)
         self._ports.append(self._listen(address(settings.readiness), ready))
-        pages = CallerFactory(self._clock, metrics_page(self._gateway), self._gateway.limits)
+        pages = CallerFactory(
+            self._clock, metrics_page(self._gateway, self._store.calls), self._gateway.limits
+        )
         self._ports.append(self._listen((settings.host, settings.metrics_port), pages))
         joining = Deferred.fromCoroutine(self._join())
         joining.addErrback(lambda f: _log.error("joining failed: {}", f.getTraceback()))
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -221,7 +221,7 @@
         decision = decide_admission(predicted_s, service_s, goal, self._left_s())
         if isinstance(decision, Declined):
             retry = milliseconds(decision.retry_after_s * 1000)
-            self._refuse(ResultCode.QUEUE_FULL, retry, decision.reason)
+            self._refuse(ResultCode.QUEUE_FULL, retry, f"{upstream.name}: {decision.reason}")
             return
         self._send(upstream)
 
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -1,6 +1,6 @@
 """The readiness and metrics pages."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..transport import CallerRequest
 from .gateway import Gateway
@@ -18,11 +18,24 @@
     return handle
 
 
-def metrics_page(gateway: Gateway) -> Callable[[CallerRequest], None]:
-    """Return the handler of the metrics page, in the Prometheus text format."""
+def metrics_page(
+    gateway: Gateway, store_calls: Mapping[tuple[str, str], int]
+) -> Callable[[CallerRequest], None]:
+    """Return the handler of the metrics page, in the Prometheus text format.
+
+    Parameters
+    ----------
+    gateway : Gateway
+    store_calls : mapping of (str, str) to int
+        Calls to the store, by path and outcome.
+    """
 
     def handle(request: CallerRequest) -> None:
-        text = "\n".join(_lines(gateway)) + "\n"
+        lines = _lines(gateway) + ["# TYPE laburnumhatch_store_calls_total counter"]
+        for (path, outcome), count in sorted(store_calls.items()):
+            labels = f'path="{path}",outcome="{outcome}"'
+            lines.append(f"laburnumhatch_store_calls_total{{{labels}}} {count}")
+        text = "\n".join(lines) + "\n"
         request.answer(200, [(b"content-type", b"text/plain; version=0.0.4")], text.encode())
 
     return handle
--- a/laburnumhatch/keyspace/balance.py
+++ b/laburnumhatch/keyspace/balance.py
@@ -20,6 +20,8 @@
 # Standard deviations of the counted requests by which a load has to exceed its fair share. Each
 # move holds up requests for its keys, so chance must not cause any.
 SIGNIFICANCE = 2.0
+# Most keys that one move takes: few requests spread over many keys say little about each.
+MOST_KEYS = 2048
 # Share of the wanted load that a span has to carry to be worth a move, and may carry at most.
 LEAST_SHARE = 0.4
 MOST_SHARE = 1.15
@@ -132,10 +134,14 @@
         start, total = 0, 0.0
         for end, key in enumerate(inside):
             total += rates[key]
-            while total > wanted * MOST_SHARE and start <= end:
+            while start <= end and (
+                total > wanted * MOST_SHARE or key - inside[start] >= MOST_KEYS
+            ):
                 total -= rates[inside[start]]
                 start += 1
-            if total < wanted * LEAST_SHARE or start > end:
+            if start > end:
+                continue
+            if total < wanted * LEAST_SHARE and key - inside[start] < MOST_KEYS // 2:
                 continue
             if best is None or _is_better(total, key - inside[start], best, wanted):
                 best = (inside[start], key, total, span)
--- a/laburnumhatch/keyspace/row.py
+++ b/laburnumhatch/keyspace/row.py
@@ -1,9 +1,12 @@
 """The row that records the owners of a service's keys."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 import msgspec
 
+from ..clocks import milliseconds
 from ..fleet import UpstreamLife
 from .lease import RangeLease
 
@@ -25,6 +28,9 @@
         The one before, which may hold the range as long as the owner doesn't.
     former_fence : int
         The former owner's token; 0 without one.
+    former_until : timedelta or None
+        What the store's clock shows when the former owner's last lease has ended, as far as the
+        writer granted any; None where it didn't know.
     """
 
     first: int
@@ -33,6 +39,7 @@
     fence: int
     former: UpstreamLife | None
     former_fence: int
+    former_until: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +54,25 @@
     last_fence: int
     # Name and birth of each upstream that the ranges point to by position.
     lives: list[tuple[str, int]]
-    # First and last key, the owner's position and token, the former owner's or -1 and 0.
-    ranges: list[tuple[int, int, int, int, int, int]]
+    # First and last key, the owner's position and token, the former owner's or -1 and 0, and the
+    # end of the former owner's lease in milliseconds or -1.
+    ranges: list[tuple[int, int, int, int, int, int, int]]
 
 
-def record_of(last_fence: int, leases: list[RangeLease]) -> ServiceRecord:
-    """Return what has to be in the store for a set of leases."""
+def record_of(
+    last_fence: int,
+    leases: list[RangeLease],
+    store_time: Callable[[timedelta], timedelta | None],
+) -> ServiceRecord:
+    """Return what has to be in the store for a set of leases.
+
+    Parameters
+    ----------
+    last_fence : int
+    leases : list of RangeLease
+    store_time : callable
+        Returns what the store's clock shows at most at an instant; None where that isn't known.
+    """
     ranges = (
         RecordedRange(
             lease.first,
@@ -61,6 +81,7 @@
             lease.fence,
             lease.former.life if lease.former is not None else None,
             lease.former.fence if lease.former is not None else 0,
+            store_time(lease.former.until) if lease.former is not None else None,
         )
         for lease in leases
     )
@@ -75,7 +96,15 @@
         return -1 if life is None else positions.setdefault(life, len(positions))
 
     ranges = [
-        (r.first, r.last, position(r.owner), r.fence, position(r.former), r.former_fence)
+        (
+            r.first,
+            r.last,
+            position(r.owner),
+            r.fence,
+            position(r.former),
+            r.former_fence,
+            _milliseconds(r.former_until),
+        )
         for r in record.ranges
     ]
     lives = [(life.name, life.born) for life in positions]
@@ -96,10 +125,17 @@
         raise ValueError(f"not a record of owners: {e}") from e
     lives = [UpstreamLife(name, born) for name, born in row.lives]
     ranges = []
-    for first, last, owner, fence, former, former_fence in row.ranges:
+    for first, last, owner, fence, former, former_fence, until_ms in row.ranges:
         if not (0 <= owner < len(lives) and -1 <= former < len(lives) and first <= last):
             raise ValueError(f"not a record of owners: range {first} to {last}")
         former_life = lives[former] if former >= 0 else None
-        found = RecordedRange(first, last, lives[owner], fence, former_life, former_fence)
-        ranges.append(found)
+        until = milliseconds(until_ms) if until_ms >= 0 else None
+        ranges.append(
+            RecordedRange(first, last, lives[owner], fence, former_life, former_fence, until)
+        )
     return ServiceRecord(row.last_fence, tuple(ranges))
+
+
+def _milliseconds(until: timedelta | None) -> int:
+    """Return whole milliseconds, rounded up; -1 for None."""
+    return -1 if until is None else -(-until // milliseconds(1))
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -8,9 +8,18 @@
 from ..fleet import Upstream, UpstreamLife
 from .balance import KeyMove, OwnedSpan, plan_moves
 from .key_rates import KeyRates
-from .lease import NEVER, RENEWALS_MISSED, Former, LeaseTiming, Phase, RangeLease, begin_move
+from .lease import (
+    FENCING_HOLD,
+    NEVER,
+    RENEWALS_MISSED,
+    Former,
+    LeaseTiming,
+    Phase,
+    RangeLease,
+    begin_move,
+)
 from .ownership_map import MapRange, OwnershipMap
-from .row import ServiceRecord
+from .row import RecordedRange, ServiceRecord
 
 __all__ = [
     "ServiceLeases",
@@ -97,6 +106,7 @@
     record: ServiceRecord,
     timing: LeaseTiming,
     hold: timedelta,
+    passed_by: Callable[[timedelta], timedelta | None],
     now: timedelta,
 ) -> None:
     """Take over what a former leader recorded.
@@ -108,6 +118,9 @@
     timing : LeaseTiming
     hold : timedelta
         The longest that a former leader may have granted of late.
+    passed_by : callable
+        Returns the instant by which the store's clock has certainly passed a time; None where that
+        isn't known.
     now : timedelta
 
     Notes
@@ -125,11 +138,33 @@
         lease.held_until = lease.unanswered_until = latest
         lease.is_confirmed = found.former is None
         if found.former is not None:
-            lease.former = Former(found.former, found.former_fence, latest, latest)
+            until = _end_of_former(found, timing, passed_by, now) or latest
+            lease.former = Former(found.former, found.former_fence, until, until)
             lease.phase = Phase.RELEASING
         leases.leases.append(lease)
 
 
+def _end_of_former(
+    found: RecordedRange,
+    timing: LeaseTiming,
+    passed_by: Callable[[timedelta], timedelta | None],
+    now: timedelta,
+) -> timedelta | None:
+    """Return when a recorded former owner's last lease has ended; None where that isn't known.
+
+    Notes
+    -----
+    After the record was written the former owner can only have been granted the range to raise its
+    token, with a short hold.
+    """
+    if found.former_until is None:
+        return None
+    recorded = passed_by(found.former_until)
+    if recorded is None:
+        return None
+    return max(recorded, timing.end_of_hold(now, FENCING_HOLD))
+
+
 def keys_by_width(count: int) -> list[tuple[int, int]]:
     """Return all keys, cut into so many ranges of about one width.
 
--- a/laburnumhatch/keyspace/tests/lease_world.py
+++ b/laburnumhatch/keyspace/tests/lease_world.py
@@ -103,7 +103,7 @@
             leases.leases.append(RangeLease(first, first, life, leases.take_fences(2)))
         self.leader = LeaderActor(leases)
         self.former: LeaderActor | None = None
-        self.record: ServiceRecord = record_of(leases.last_fence, leases.leases)
+        self.record: ServiceRecord = record_of(leases.last_fence, leases.leases, lambda time: time)
         self.write(self.leader)
 
     def run(self, steps: int, *, trouble: bool = True) -> None:
@@ -124,7 +124,7 @@
             return
         leases = actor.leases
         fence = leases.last_fence if self.writes_tokens else 0
-        self.record = record_of(fence, leases.leases)
+        self.record = record_of(fence, leases.leases, lambda time: time)
         leases.written = leases.changes
         for lease in leases.leases:
             note_written(lease, self.now)
@@ -144,7 +144,14 @@
 
     def _take_over(self, successor: ServiceLeases) -> None:
         if successor is self.leader.leases:
-            self.adopt(successor, self.record, self.timing, self.timing.longest_hold, self.now)
+            self.adopt(
+                successor,
+                self.record,
+                self.timing,
+                self.timing.longest_hold,
+                lambda time: time,
+                self.now,
+            )
             successor.changes += 1
 
     def _maybe_trouble(self) -> None:
--- a/laburnumhatch/keyspace/tests/test_lease_protocol.py
+++ b/laburnumhatch/keyspace/tests/test_lease_protocol.py
@@ -12,22 +12,22 @@
 LATE = Network(0.02, 0.05, 0.4)
 
 
-def adopt_without_wait(leases, record, timing, hold, now):
-    adopt_record(leases, record, timing, hold, now)
+def adopt_without_wait(leases, record, timing, hold, passed_by, now):
+    adopt_record(leases, record, timing, hold, passed_by, now)
     for lease in leases.leases:
         lease.held_until = lease.unanswered_until = NEVER
         lease.former = None
 
 
-def adopt_with_the_usual_hold(leases, record, timing, hold, now):
-    adopt_record(leases, record, timing, hold, now)
+def adopt_with_the_usual_hold(leases, record, timing, hold, passed_by, now):
+    adopt_record(leases, record, timing, hold, passed_by, now)
     end = timing.end_of_hold(now, timing.hold)
     for lease in leases.leases:
         lease.held_until = lease.unanswered_until = end
 
 
-def adopt_and_fence_the_former(leases, record, timing, hold, now):
-    adopt_record(leases, record, timing, hold, now)
+def adopt_and_fence_the_former(leases, record, timing, hold, passed_by, now):
+    adopt_record(leases, record, timing, hold, passed_by, now)
     for lease in leases.leases:
         if lease.former is not None:
             until = lease.former.until
@@ -35,6 +35,10 @@
             lease.phase = Phase.FENCING
 
 
+def adopt_without_former_leases(leases, record, timing, hold, passed_by, now):
+    adopt_record(leases, record, timing, hold, lambda time: now, now)
+
+
 def forget_unanswered_grants(lease):
     lease.unanswered_until = NEVER
     if lease.former is not None:
@@ -63,10 +67,18 @@
         ({"adopt": adopt_without_wait}, ROUGH),
         ({"adopt": adopt_with_the_usual_hold}, LATE),
         ({"adopt": adopt_and_fence_the_former}, ROUGH),
+        ({"adopt": adopt_without_former_leases}, LATE),
         ({"after_result": forget_unanswered_grants}, LATE),
         ({"writes_tokens": False}, QUIET),
     ],
-    ids=["no wait", "raised hold", "former fenced", "late grant", "tokens not written"],
+    ids=[
+        "no wait",
+        "raised hold",
+        "former fenced",
+        "former not waited for",
+        "late grant",
+        "tokens not written",
+    ],
 )
 def test_a_planted_fault_is_found(fault, network):
     with pytest.raises(TwoHolders):
--- a/laburnumhatch/placement/choice.py
+++ b/laburnumhatch/placement/choice.py
@@ -12,7 +12,13 @@
 from ..fleet import Upstream
 from .loads import UpstreamLoad
 
-__all__ = ["Choice", "choose_upstream", "predict_answer_time"]
+__all__ = [
+    "Choice",
+    "choose_upstream",
+    "plausible_service_time",
+    "predict_answer_time",
+    "usual_service_time",
+]
 
 # Service time of an upstream that has answered nothing yet, where no other of its service has.
 UNKNOWN_SERVICE_S = 0.05
@@ -26,6 +32,8 @@
 JITTER = 0.15
 # Factor on the service time of an upstream that says that it is still slow from its start.
 WARMUP_FACTOR = 1.6
+# Share of the usual service time below which an upstream's own isn't believed.
+FASTEST_SHARE = 0.5
 # Largest declined share that is reckoned with, so that a declining upstream is tried now and then.
 MOST_DECLINED = 0.9
 
@@ -45,7 +53,7 @@
     -----
     A request beyond the slots waits for its turn.
     """
-    service = load.service_s or usual_s
+    service = plausible_service_time(load.service_s, usual_s)
     if upstream.warmup_left:
         service = max(service, usual_s * WARMUP_FACTOR)
     turns = max(1.0, (load.in_flight + 1) / upstream.slots)
@@ -77,6 +85,17 @@
     return known[len(known) // 2] if known else UNKNOWN_SERVICE_S
 
 
+def plausible_service_time(service_s: float, usual_s: float) -> float:
+    """Return an upstream's service time, seconds; the usual one where it is not known.
+
+    Notes
+    -----
+    The time is worked out from the answer's and from the requests in flight, of which some are
+    known late. Answers after a busy moment make an upstream look faster than it can be.
+    """
+    return max(service_s, usual_s * FASTEST_SHARE) if service_s else usual_s
+
+
 def choose_upstream(
     candidates: Collection[Upstream],
     load_of: Callable[[str], UpstreamLoad],
--- a/laburnumhatch/platform/store.py
+++ b/laburnumhatch/platform/store.py
@@ -91,8 +91,8 @@
 
     Attributes
     ----------
-    calls : dict of str to int
-        Calls so far, by outcome.
+    calls : dict of (str, str) to int
+        Calls so far, by path and outcome.
     """
 
     def __init__(self, caller: HttpCaller, clock: Clock, host: str, port: int) -> None:
@@ -100,7 +100,7 @@
         self._clock = clock
         self._host = host
         self._port = port
-        self.calls: dict[str, int] = {}
+        self.calls: dict[tuple[str, str], int] = {}
 
     async def read(self, table: str) -> RowsRead | NotDone | Unanswered:
         """Return all rows of a table.
@@ -172,7 +172,8 @@
             self._host, self._port, method, path.encode(), body, CALL_TIMEOUT
         )
         outcome = str(reply.status) if isinstance(reply, Reply) else type(reply).__name__
-        self.calls[outcome] = self.calls.get(outcome, 0) + 1
+        counted = (path.partition("?")[0], outcome)
+        self.calls[counted] = self.calls.get(counted, 0) + 1
         if isinstance(reply, Reply):
             return reply
         if reply.never_sent:
