--- /dev/null
+++ b/laburnumhatch/fleet/tests/test_split.py
@@ -0,0 +1,34 @@
+"""Requests of a route are shared out by weight, over short spans as well."""
+
+from collections import Counter
+from dataclasses import replace
+
+from ...clocks import milliseconds
+from .. import Repetition, Route, SplitCounter, SplitPart
+
+ROUTE = Route(
+    "r",
+    "h",
+    "/",
+    Repetition.ANY_NUMBER,
+    False,
+    milliseconds(1000),
+    milliseconds(300),
+    1,
+    2,
+    (SplitPart("a", 90), SplitPart("b", 10)),
+)
+
+
+def test_the_weights_hold_over_each_span_of_ten():
+    counter = SplitCounter()
+    chosen = [counter.choose(ROUTE) for _ in range(200)]
+    for start in range(0, 200, 10):
+        assert Counter(chosen[start : start + 10]) == {"a": 9, "b": 1}
+
+
+def test_new_weights_hold_at_once():
+    counter = SplitCounter()
+    counter.choose(ROUTE)
+    even = replace(ROUTE, parts=(SplitPart("a", 1), SplitPart("b", 1)))
+    assert Counter(counter.choose(even) for _ in range(10)) == {"a": 5, "b": 5}
--- a/laburnumhatch/keyspace/balance.py
+++ b/laburnumhatch/keyspace/balance.py
@@ -22,9 +22,12 @@
 SIGNIFICANCE = 2.0
 # Most keys that one move takes: few requests spread over many keys say little about each.
 MOST_KEYS = 2048
-# Share of the wanted load that a span has to carry to be worth a move, and may carry at most.
-LEAST_SHARE = 0.4
+# Share of the wanted load that a piece has to carry to be worth a move, and may carry at most.
+LEAST_SHARE = 0.15
 MOST_SHARE = 1.15
+# Share of the mean utilisation below which an upstream counts as idle, and is given keys as soon as
+# it differs from the busiest by more than chance.
+IDLE_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,12 +94,15 @@
         low = loads[idlest] / capacities[idlest]
         if high - low < SMALLEST_GAP or high < CALM_UTILISATION:
             break
-        fair = capacities[busiest] * sum(loads.values()) / sum(capacities.values())
-        if not _is_significant(loads[busiest] - fair, loads[busiest], window_s):
+        mean = sum(loads.values()) / sum(capacities.values())
+        excess = loads[busiest] - capacities[busiest] * (low if low < IDLE_SHARE * mean else mean)
+        if not _is_significant(excess, loads[busiest], window_s):
             stuck.add(busiest)
             continue
-        wanted = _levelling_rate(
-            loads[busiest], capacities[busiest], loads[idlest], capacities[idlest]
+        # What one has too much and the other too little, so that neither goes beyond the mean.
+        wanted = min(
+            loads[busiest] - capacities[busiest] * mean,
+            capacities[idlest] * mean - loads[idlest],
         )
         found = _narrowest_span(owned[busiest], keys, rates, wanted)
         if found is None:
@@ -115,15 +121,10 @@
 
 
 def _is_significant(excess: float, rate: float, window_s: float) -> bool:
-    """Return whether a rate exceeds its fair share by more than chance."""
+    """Return whether the excess of a rate is more than chance."""
     return excess * window_s > SIGNIFICANCE * math.sqrt(rate * window_s)
 
 
-def _levelling_rate(high: float, high_capacity: float, low: float, low_capacity: float) -> float:
-    """Return the rate whose move gives both upstreams the same utilisation."""
-    return (high * low_capacity - low * high_capacity) / (high_capacity + low_capacity)
-
-
 def _narrowest_span(
     spans: Sequence[OwnedSpan], keys: Sequence[int], rates: Mapping[int, float], wanted: float
 ) -> tuple[int, int, float, OwnedSpan] | None:
@@ -139,9 +140,7 @@
             ):
                 total -= rates[inside[start]]
                 start += 1
-            if start > end:
-                continue
-            if total < wanted * LEAST_SHARE and key - inside[start] < MOST_KEYS // 2:
+            if start > end or total < wanted * LEAST_SHARE:
                 continue
             if best is None or _is_better(total, key - inside[start], best, wanted):
                 best = (inside[start], key, total, span)
