Give long answers of the store their time on slow links

Ruled out: a longer timeout for all calls, which would notice a silent store later. Change: the timeout of a call of our own holds for each part of its answer, the whole for six of it.

--- a/laburnumhatch/transport/http_caller.py
+++ b/laburnumhatch/transport/http_caller.py
@@ -13,6 +13,9 @@
 
 __all__ = ["CallFailed", "HttpCaller", "Reply"]
 
+# Timeouts that a whole answer may take while its parts keep coming.
+MOST_TIMEOUTS = 6
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -42,11 +45,14 @@
 
 
 class _Collector:
-    """Collects one answer."""
+    """Collects one answer, for as long as parts of it keep coming."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock, timeout: timedelta) -> None:
+        self._clock = clock
+        self._timeout = timeout
+        self._give_up_at = clock.now() + timeout * MOST_TIMEOUTS
         self.done: Deferred[Reply | CallFailed] = Deferred()
-        self.timer: Cancellable | None = None
+        self.timer: Cancellable | None = clock.call_later(timeout, self.timed_out)
         self.call: PooledCall | None = None
         self._status = 0
         self._fields: HeaderFields = []
@@ -54,9 +60,11 @@
 
     def began(self, status: int, fields: HeaderFields, length: int | None) -> None:
         self._status, self._fields = status, fields
+        self._wait_on()
 
     def received(self, data: bytes) -> None:
         self._body.append(data)
+        self._wait_on()
 
     def ended(self) -> None:
         self._finish(Reply(self._status, self._fields, b"".join(self._body)))
@@ -71,6 +79,14 @@
             self.call.abort()
         self._finish(CallFailed("no answer in time", never_sent=not sent))
 
+    def _wait_on(self) -> None:
+        """Allow the next part its time; a long answer takes long on a slow link."""
+        if self.timer is None or not self.timer.active():
+            return
+        self.timer.cancel()
+        left = self._give_up_at - self._clock.now()
+        self.timer = self._clock.call_later(min(self._timeout, left), self.timed_out)
+
     def _finish(self, result: Reply | CallFailed) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -108,14 +124,15 @@
 
         Notes
         -----
-        A call that times out has its connection reset, so that bytes of it that are held up on
+        The timeout holds for each part of the answer; the whole may take `MOST_TIMEOUTS` of it. A
+        call that times out has its connection reset, so that bytes of it that are held up on
         the way are dropped.
         """
         sent = [(b"host", f"{host}:{port}".encode()), *(fields or ())]
         if body:
             sent.append((b"content-type", b"application/json"))
         request = OutboundRequest(method, target, sent, body, lambda status, fields: True)
-        collector = _Collector()
+        collector = _Collector(self._clock, timeout)
 
         def make() -> OutboundRequest | None:
             if may_send():
@@ -123,6 +140,5 @@
             collector.failed(CallFailure(FailureKind.LOST, True, "not sent any more"))
             return None
 
-        collector.timer = self._clock.call_later(timeout, collector.timed_out)
         collector.call = self._pool.send(host, port, make, collector)
         return await collector.done
--- /dev/null
+++ b/laburnumhatch/transport/tests/test_http_caller.py
@@ -0,0 +1,89 @@
+"""Calls on the instance's own account end in time, long answers included."""
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from ...clocks import milliseconds
+from ..http_caller import CallFailed, HttpCaller, Reply
+from ..pool import PooledCall
+
+TIMEOUT = milliseconds(900)
+
+
+class FakePool:
+    """Keeps the receivers of the calls."""
+
+    def __init__(self):
+        self.receivers = []
+        self.calls = []
+
+    def send(self, host, port, request, receiver):
+        made = request()
+        call = PooledCall()
+        if made is not None:
+            call.connection = self
+            self.receivers.append(receiver)
+        self.calls.append(call)
+        return call
+
+    def abort(self):
+        pass
+
+
+@pytest.fixture
+def pool():
+    return FakePool()
+
+
+@pytest.fixture
+def start(clock, pool):
+    """Starts a call; returns the list that its result goes into."""
+
+    def begin(may_send=lambda: True):
+        results = []
+        caller = HttpCaller(pool, clock)
+        calling = caller.call("h", 1, b"GET", b"/", b"", TIMEOUT, None, may_send)
+        Deferred.fromCoroutine(calling).addCallback(results.append)
+        return results
+
+    return begin
+
+
+def test_a_call_without_an_answer_ends_at_its_timeout(start, clock):
+    results = start()
+    clock.advance(TIMEOUT - milliseconds(1))
+    assert results == []
+    clock.advance(milliseconds(1))
+    assert isinstance(results[0], CallFailed) and not results[0].never_sent
+
+
+def test_a_long_answer_over_a_slow_link_is_waited_for(start, clock, pool):
+    results = start()
+    clock.advance(milliseconds(800))
+    pool.receivers[0].began(200, [], None)
+    for _ in range(4):
+        clock.advance(milliseconds(800))
+        pool.receivers[0].received(b"part")
+    pool.receivers[0].ended()
+    assert results == [Reply(200, [], b"part" * 4)]
+
+
+def test_an_answer_that_stops_midway_is_given_up(start, clock, pool):
+    results = start()
+    pool.receivers[0].began(200, [], None)
+    clock.advance(TIMEOUT)
+    assert isinstance(results[0], CallFailed)
+
+
+def test_an_answer_that_trickles_is_given_up(start, clock, pool):
+    results = start()
+    for _ in range(40):
+        if not results:
+            pool.receivers[0].received(b".")
+        clock.advance(milliseconds(500))
+    assert isinstance(results[0], CallFailed)
+
+
+def test_what_may_not_be_sent_any_more_is_not(start, pool):
+    results = start(may_send=lambda: False)
+    assert results[0].never_sent and pool.receivers == []
