Log by what knowledge a request was decided

Cause: the users' engineers have only logs; a refusal named its reason, not the configuration, the leader and the age of the registry that it went by. Ruled out: a line for each request that is answered; metrics tell those, and a line costs processor time. Change: each line of a request carries version, leader, instances and ages; tests hold the bound of lines, and that a reader of the logs that never reads blocks nobody.

--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -69,7 +69,7 @@
         self.split = SplitCounter()
         self.waiting: set[Exchange] = set()
         self.metrics = GatewayMetrics()
-        self.log = RequestLog(clock)
+        self.log = RequestLog(clock, self._knowledge)
         self.random = random.Random()
         self.longest_idle = IDLE_LIMIT
 
@@ -137,6 +137,17 @@
         """Return the usual time of one request at a service, seconds."""
         return usual_service_time(self.board.of(u.name) for u in self.open_upstreams(service))
 
+    def _knowledge(self) -> dict[str, object]:
+        """Return what decisions go by at this moment, for the logs."""
+        routes = self.member.routes
+        ages = {f"{name}_age_s": round(age, 2) for name, age in self.member.ages().items()}
+        return {
+            "configuration": routes.version if routes is not None else 0,
+            "leader": self.member.leader_name,
+            "instances": self.member.instances,
+            **ages,
+        }
+
     def budget(self, service: str) -> RetryBudget:
         """Return the budget of a service's repeats."""
         budget = self._budgets.get(service)
--- a/laburnumhatch/gateway/request_log.py
+++ b/laburnumhatch/gateway/request_log.py
@@ -1,5 +1,7 @@
 """Log lines about requests, bounded in number."""
 
+from collections.abc import Callable, Mapping
+
 import logbook
 
 from ..clocks import Clock
@@ -18,10 +20,18 @@
 
 
 class RequestLog:
-    """Writes what became of requests that were not simply answered."""
+    """Writes what became of requests that were not simply answered.
+
+    Parameters
+    ----------
+    clock : Clock
+    knowledge : callable
+        Returns the versions and ages of what decisions go by, for each line.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, knowledge: Callable[[], Mapping[str, object]]) -> None:
         self._clock = clock
+        self._knowledge = knowledge
         self._allowance = LINES_AT_ONCE
         self._refilled = clock.now()
         self.dropped = 0
@@ -73,6 +83,7 @@
             "service": service,
             "after_ms": round((now - request.received_at).total_seconds() * 1000, 1),
             **fields,
+            **self._knowledge(),
         }
         if upstream is not None:
             extra["upstream"] = upstream.name
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -185,7 +185,13 @@
         }
         table = RouteTable.from_routes(1, routes, services, CallerLimits())
         self.member = SimpleNamespace(
-            routes=table, knowledge=self.knowledge, maps={}, instances=1, is_leader=False
+            routes=table,
+            knowledge=self.knowledge,
+            maps={},
+            instances=1,
+            is_leader=False,
+            leader_name="a/1",
+            ages=lambda: {"registry": 0.1, "configuration": 0.2},
         )
         self.gateway = Gateway(
             clock=clock,
--- /dev/null
+++ b/laburnumhatch/gateway/tests/test_request_log.py
@@ -0,0 +1,44 @@
+"""Log lines about requests say what they went by, and are bounded."""
+
+import logbook
+import pytest
+
+from ...clocks import milliseconds
+from ..request_log import LINES_AT_ONCE
+
+
+@pytest.fixture
+def records():
+    """What is logged."""
+    handler = logbook.TestHandler()
+    handler.push_application()
+    yield handler.records
+    handler.pop_application()
+
+
+def test_a_refusal_says_why_and_by_what_knowledge(world, records, clock):
+    world.ask(path=b"/keyed/x")
+    clock.advance(milliseconds(700))
+    (record,) = (r for r in records if "refused" in r.message)
+    assert record.extra["request"] == "a1"
+    assert record.extra["code"] == 301 and record.extra["run"] == "no"
+    assert record.extra["configuration"] == 1 and record.extra["leader"] == "a/1"
+    assert record.extra["registry_age_s"] == 0.1
+    assert record.extra["after_ms"] > 0
+
+
+def test_a_repeat_names_the_upstream_that_failed(world, records):
+    world.ask()
+    first = world.pool.last.address[1]
+    world.pool.last.lose()
+    (record,) = (r for r in records if "sent again" in r.message)
+    assert record.extra["upstream"] == f"u{first - 8000}"
+
+
+def test_a_flood_of_refusals_is_cut_and_counted(world, records, clock):
+    for _ in range(1000):
+        world.ask(path=b"/none/x")
+    assert len(records) == LINES_AT_ONCE
+    clock.advance(milliseconds(1000))
+    world.ask(path=b"/none/x")
+    assert records[-1].extra["lines_left_out"] == 1000 - LINES_AT_ONCE
--- /dev/null
+++ b/laburnumhatch/telemetry/tests/test_bounded_stream.py
@@ -0,0 +1,62 @@
+"""A stream whose reader doesn't read never blocks its writer."""
+
+import os
+
+import pytest
+
+from ..bounded_stream import MOST_WAITING, BoundedStream
+
+
+@pytest.fixture
+def pipe():
+    """The two ends of a pipe."""
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        try:
+            os.close(descriptor)
+        except OSError:
+            continue
+
+
+def test_what_is_written_arrives(pipe):
+    reader, writer = pipe
+    stream = BoundedStream(writer)
+    stream.write("one\n")
+    stream.flush()
+    assert os.read(reader, 100) == b"one\n"
+
+
+def test_a_reader_that_never_reads_costs_lines_that_are_counted(pipe):
+    _, writer = pipe
+    stream = BoundedStream(writer)
+    line = "x" * 1000 + "\n"
+    for _ in range(2000):
+        stream.write(line)
+        stream.flush()
+    held = 2000 - stream.dropped
+    assert stream.dropped > 0
+    # A pipe holds 64 KiB, the stream the rest.
+    assert held * len(line) <= MOST_WAITING + 65_536 + len(line)
+
+
+def test_what_waited_goes_out_when_the_reader_reads_again(pipe):
+    reader, writer = pipe
+    stream = BoundedStream(writer)
+    for number in range(200):
+        stream.write(f"{number:04d}" + "x" * 996)
+        stream.flush()
+    read = b""
+    while len(read) < 200_000:
+        read += os.read(reader, 65_536)
+        stream.flush()
+    assert read.startswith(b"0000") and b"0199" in read
+
+
+def test_a_reader_that_is_gone_does_no_harm(pipe):
+    reader, writer = pipe
+    os.close(reader)
+    stream = BoundedStream(writer)
+    stream.write("lost")
+    stream.flush()
+    assert stream.dropped == 1
