--- a/laburnumhatch/commands/main.py
+++ b/laburnumhatch/commands/main.py
@@ -19,6 +19,7 @@
     "rollback": ".rollback",
     "standin": ".standin",
     "status": ".status",
+    "trace": ".trace",
 }
 
 
--- /dev/null
+++ b/laburnumhatch/gateway/tests/test_imports.py
@@ -0,0 +1,49 @@
+"""The daemon loads only what it uses: each megabyte is paid for in every instance."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import laburnumhatch
+
+ROOT = Path(laburnumhatch.__file__).parents[1]
+UNWANTED = {
+    "aioprometheus",
+    "click",
+    "klein",
+    "matplotlib",
+    "numpy",
+    "opentelemetry",
+    "pydantic",
+    "treq",
+    "twisted.web",
+}
+
+
+def test_the_daemon_brings_in_no_large_module():
+    script = (
+        "import json, sys, laburnumhatch.gateway.daemon, laburnumhatch.gateway.__main__;"
+        "print(json.dumps(sorted(sys.modules)))"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, check=True, text=True
+    )
+    assert UNWANTED.isdisjoint(json.loads(found.stdout))
+
+
+def pinned(path):
+    """Return the pinned packages of a file, in lower case."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    return {line.strip().lower() for line in lines if "==" in line}
+
+
+def test_what_is_deployed_is_what_is_tested():
+    deployed = pinned(ROOT / "deploy" / "requirements.txt")
+    assert deployed and deployed <= pinned(ROOT / "constraints.txt")
+
+
+def test_twisted_is_deployed_without_its_transport_encryption():
+    # Twisted imports it wherever it is installed, which takes 20 MB.
+    names = {line.partition("==")[0] for line in pinned(ROOT / "deploy" / "requirements.txt")}
+    assert names.isdisjoint({"pyopenssl", "cryptography", "service-identity"})
--- /dev/null
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -0,0 +1,70 @@
+"""Settings that can't be taken are named by file and field."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+import laburnumhatch
+
+from ..settings import SettingsInvalid, read_settings
+
+TEMPLATE = Path(laburnumhatch.__file__).parents[1] / "deploy" / "settings.json"
+GOOD = {
+    "name": "a",
+    "data_centre": "d",
+    "host": "127.0.0.1",
+    "callers": "127.0.0.1:1",
+    "readiness": "127.0.0.1:2",
+    "stream_port": 3,
+    "core_speed": 1,
+    "core_share": 0.5,
+    "metrics_port": 4,
+    "store": "127.0.0.1:5",
+    "longest_hold": "10s",
+    "retry_window": "10s",
+    "retry_ratio": 0.2,
+    "retry_slack": 56,
+    "stop_within": "6s",
+    "drain_within": "2s",
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    """Writes settings to a file; returns its path."""
+
+    def write_settings(text):
+        path = tmp_path / "settings.json"
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    return write_settings
+
+
+def test_settings_may_have_comments_and_unknown_fields(write):
+    text = "// one\n" + json.dumps({**GOOD, "new": 1}) + "/* two */"
+    assert read_settings(write(text)).retry_slack == 56
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("name", None), ("store", "nowhere"), ("longest_hold", "long"), ("stream_port", "3")],
+)
+def test_a_wrong_field_is_named(write, field, value):
+    with pytest.raises(SettingsInvalid, match=field):
+        read_settings(write(json.dumps({**GOOD, field: value})))
+
+
+def test_a_missing_field_and_file_are_named(write, tmp_path):
+    text = json.dumps({name: value for name, value in GOOD.items() if name != "store"})
+    with pytest.raises(SettingsInvalid, match="store"):
+        read_settings(write(text))
+    with pytest.raises(SettingsInvalid, match="absent"):
+        read_settings(tmp_path / "absent.json")
+
+
+def test_the_template_gives_each_field():
+    names = re.findall(r'^  "(\w+)":', TEMPLATE.read_text(encoding="utf-8"), re.MULTILINE)
+    assert sorted(names) == sorted(GOOD)
