Name the key in the lines of a request, drop an unused setting

Cause: a refusal for want of an owner didn't say which key, so it could not be matched with the moves in the leader's log; the settings had a field that nothing read. Ruled out: nothing. Figures: the test of the line failed before.

--- a/laburnumhatch/commands/trace.py
+++ b/laburnumhatch/commands/trace.py
@@ -15,6 +15,7 @@
 # What a line of a request shows besides its text, in this order.
 SHOWN = (
     "service",
+    "key",
     "upstream",
     "after_ms",
     "code",
--- a/laburnumhatch/gateway/request_log.py
+++ b/laburnumhatch/gateway/request_log.py
@@ -6,7 +6,7 @@
 
 from ..clocks import Clock
 from ..fleet import Upstream
-from ..platform.headers import REQUEST_ID, find_header
+from ..platform.headers import KEY, REQUEST_ID, find_header
 from ..results import Refusal
 from ..transport import CallerRequest
 
@@ -85,6 +85,9 @@
             **fields,
             **self._knowledge(),
         }
+        key = find_header(request.fields, KEY)
+        if key is not None:
+            extra["key"] = key.decode("latin-1")
         if upstream is not None:
             extra["upstream"] = upstream.name
         if self.dropped:
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -33,7 +33,7 @@
         Port of the metrics page.
     store : str
         ``HOST:PORT`` of the shared store.
-    longest_hold, retry_window, stop_within, drain_within : str
+    longest_hold, retry_window, stop_within : str
         Durations, as ``2.5s`` or ``900ms``.
     retry_ratio, retry_slack : float
         Repeats allowed for each request, and besides, over all instances and one window.
@@ -54,7 +54,6 @@
     retry_ratio: float
     retry_slack: float
     stop_within: str
-    drain_within: str
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
@@ -73,7 +72,7 @@
         found = msgspec.json.decode(strip_comments(text), type=GatewaySettings)
     except (OSError, UnicodeDecodeError, msgspec.MsgspecError) as e:
         raise SettingsInvalid(f"{path}: {e}") from e
-    for field in ("longest_hold", "retry_window", "stop_within", "drain_within"):
+    for field in ("longest_hold", "retry_window", "stop_within"):
         try:
             parse_duration(getattr(found, field))
         except ValueError as e:
--- a/laburnumhatch/gateway/tests/test_request_log.py
+++ b/laburnumhatch/gateway/tests/test_request_log.py
@@ -21,6 +21,7 @@
     clock.advance(milliseconds(700))
     (record,) = (r for r in records if "refused" in r.message)
     assert record.extra["request"] == "a1"
+    assert record.extra["key"] == "7"
     assert record.extra["code"] == 301 and record.extra["run"] == "no"
     assert record.extra["configuration"] == 1 and record.extra["leader"] == "a/1"
     assert record.extra["registry_age_s"] == 0.1
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -27,7 +27,6 @@
     "retry_ratio": 0.2,
     "retry_slack": 56,
     "stop_within": "6s",
-    "drain_within": "2s",
 }
 
 
