Use the project's own names for two fields, and split what the leader told off the member

Ruled out: renaming in the adapter only, since the types outside carry them. Change: slow_for and goal; coordination/told.py; a line in the log. No decision is changed.

--- a/laburnumhatch/coordination/changes.py
+++ b/laburnumhatch/coordination/changes.py
@@ -66,7 +66,7 @@
         upstream.data_centre,
         upstream.slots,
         upstream.is_draining,
-        upstream.warmup_left,
+        upstream.slow_for,
     )
 
 
@@ -79,5 +79,5 @@
         listed.data_centre,
         listed.slots,
         listed.is_draining,
-        listed.warmup_left,
+        listed.slow_for,
     )
--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -296,7 +296,7 @@
             service = plausible_service_time(load.service_s, usual)
             # A slow upstream needs more spare room to answer within the goal.
             capacity = upstream.slots / service * (usual / service) ** SLOWNESS_EXPONENT
-            if upstream.warmup_left:
+            if upstream.slow_for:
                 capacity *= WARMUP_CAPACITY
             capacities[life] = capacity * (1.0 - min(0.8, load.declined_share(now)))
         if len(capacities) > 1:
--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import logbook
 import msgspec
 
 from ..clocks import milliseconds
@@ -10,6 +11,8 @@
 
 __all__ = ["LeaderRecord", "Leadership", "LeadershipTiming", "decode_leader", "encode_leader"]
 
+_log = logbook.Logger("laburnumhatch.member")
+
 
 @dataclass(frozen=True, slots=True)
 class LeaderRecord:
@@ -182,7 +185,8 @@
     """Return the record in a row's value, or None where it can't be read."""
     try:
         return msgspec.json.decode(value, type=LeaderRecord)
-    except msgspec.MsgspecError:
+    except msgspec.MsgspecError as e:
+        _log.error("the leader's row can't be read and counts as absent: {}", e)
         return None
 
 
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -14,14 +14,14 @@
 from ..links import ManagedLinks, PeerAddress
 from ..placement.loads import LoadBoard
 from .broadcast import Broadcaster
-from .changes import apply_map, apply_registry
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
 from .messages import LoadReport, News, Totals
 from .reader import KEYS_TABLE, LEADER_KEY, OLDEST_NEWS, ReadHandlers, Sources, StoreReader
 from .store import RowsRead, RowStore, StoredRow
 from .store_clock import StoreClock
-from .totals import pack_totals, unpack_totals
+from .told import LeaderTold
+from .totals import pack_totals
 from .writer import LeadWriter
 
 __all__ = ["Member", "MemberSetup"]
@@ -151,11 +151,7 @@
         self._reports: dict[str, dict[str, int]] = {}
         self._registry_version = 0
         self._names: list[str] = []
-        self._told_upstreams: dict[str, Upstream] = {}
-        self._told_maps: dict[str, OwnershipMap] = {}
-        self._told_registry = 0
-        # Whether what is known is what the leader told, rather than what this member read.
-        self._is_told = False
+        self._told = LeaderTold()
         self._is_stopping = False
         self._source = random.Random()
         self.routes: RouteTable | None = None
@@ -231,7 +227,7 @@
     # What was read.
 
     def _take_upstreams(self, found: Iterable[Upstream]) -> None:
-        self._is_told = False
+        self._told.is_used = False
         if self.knowledge.take(found, self._clock.now()):
             self._upstreams_changed()
 
@@ -265,7 +261,7 @@
                 for r in sorted(record.ranges, key=lambda r: r.first)
             )
             self.maps[row.key] = OwnershipMap(row.key, 0, ranges)
-        self._is_told = False
+        self._told.is_used = False
         self._on_change()
 
     def _saw_leader(self, row: StoredRow | None, store_time: timedelta | None = None) -> None:
@@ -462,20 +458,16 @@
 
     def _take_changes(self, news: News, now: timedelta) -> None:
         """Bring what the leader told up to date, and go by it."""
-        for changes in news.maps:
-            known = self._told_maps.get(changes.service)
-            self._told_maps[changes.service] = apply_map(known, changes)
-        if news.registry is not None:
-            self._told_upstreams = apply_registry(self._told_upstreams, news.registry)
-            self._told_registry = news.registry.version
-        if news.maps or not self._is_told:
-            self.maps = dict(self._told_maps)
-        if news.registry is not None or not self._is_told:
-            self.knowledge.adopt(self._told_upstreams.values(), now)
+        told = self._told
+        told.take(news)
+        if news.maps or not told.is_used:
+            self.maps = dict(told.maps)
+        if news.registry is not None or not told.is_used:
+            self.knowledge.adopt(told.upstreams.values(), now)
             self._upstreams_changed()
         elif news.maps:
             self._on_change()
-        self._is_told = True
-        if news.totals is not None and news.totals.registry == self._told_registry:
-            names = sorted(self._told_upstreams)
-            self._board.take_totals(unpack_totals(news.totals.packed, names), now)
+        told.is_used = True
+        totals = told.totals(news)
+        if totals is not None:
+            self._board.take_totals(totals, now)
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -69,7 +69,7 @@
     data_centre: str
     slots: int
     is_draining: bool
-    warmup_left: timedelta
+    slow_for: timedelta
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/fleet/routes.py
+++ b/laburnumhatch/fleet/routes.py
@@ -45,7 +45,7 @@
         Whether answers are large.
     timeout : timedelta
         Longest time that a caller is kept waiting.
-    latency_goal : timedelta
+    goal : timedelta
         Time within which an answer has its full worth.
     priority : int
         0 is the most urgent.
@@ -61,7 +61,7 @@
     repetition: Repetition
     is_bulky: bool
     timeout: timedelta
-    latency_goal: timedelta
+    goal: timedelta
     priority: int
     max_upstreams: int
     parts: tuple[SplitPart, ...]
--- a/laburnumhatch/fleet/upstream.py
+++ b/laburnumhatch/fleet/upstream.py
@@ -38,7 +38,7 @@
         Requests that it runs at a time.
     is_draining : bool
         Whether it announced its shutdown.
-    warmup_left : timedelta
+    slow_for : timedelta
         How much longer it is slow after its start.
     """
 
@@ -49,7 +49,7 @@
     data_centre: str
     slots: int
     is_draining: bool
-    warmup_left: timedelta
+    slow_for: timedelta
 
     @property
     def name(self) -> str:
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -181,7 +181,7 @@
         gateway = self._gateway
         left = milliseconds(self._left_s() * 1000)
         assert self._route is not None
-        wait = min(LONGEST_OWNER_WAIT, left / 2, self._route.latency_goal * 2)
+        wait = min(LONGEST_OWNER_WAIT, left / 2, self._route.goal * 2)
         self._state = _State.WAITING_FOR_OWNER
         gateway.waiting.add(self)
         self._owner_timer = gateway.clock.call_later(wait, self._no_owner)
@@ -217,7 +217,7 @@
 
     def _admit(self, upstream: Upstream, predicted_s: float, service_s: float) -> None:
         assert self._route is not None
-        goal = self._route.latency_goal.total_seconds()
+        goal = self._route.goal.total_seconds()
         decision = decide_admission(predicted_s, service_s, goal, self._left_s())
         if isinstance(decision, Declined):
             retry = milliseconds(decision.retry_after_s * 1000)
--- a/laburnumhatch/placement/choice.py
+++ b/laburnumhatch/placement/choice.py
@@ -54,7 +54,7 @@
     A request beyond the slots waits for its turn.
     """
     service = plausible_service_time(load.service_s, usual_s)
-    if upstream.warmup_left:
+    if upstream.slow_for:
         service = max(service, usual_s * WARMUP_FACTOR)
     turns = max(1.0, (load.in_flight + 1) / upstream.slots)
     return service * turns
--- a/laburnumhatch/platform/configuration.py
+++ b/laburnumhatch/platform/configuration.py
@@ -115,7 +115,7 @@
         repetition=repetition,
         is_bulky=is_bulky,
         timeout=parse_duration(route.timeout),
-        latency_goal=parse_duration(route.latency_goal),
+        goal=parse_duration(route.latency_goal),
         priority=route.priority,
         max_upstreams=max(1, route.max_attempts),
         parts=parts,
--- a/laburnumhatch/platform/tests/test_upstreams.py
+++ b/laburnumhatch/platform/tests/test_upstreams.py
@@ -36,7 +36,7 @@
     upstream = decode_upstream("i-1", encode())
     assert upstream.life == UpstreamLife("i-1", 1785000000000)
     assert (upstream.host, upstream.port) == ("10.128.0.9", 8080)
-    assert upstream.warmup_left == timedelta(seconds=1.5)
+    assert upstream.slow_for == timedelta(seconds=1.5)
     assert not upstream.is_draining
 
 
--- a/laburnumhatch/platform/upstreams.py
+++ b/laburnumhatch/platform/upstreams.py
@@ -62,7 +62,7 @@
         data_centre=found.zone,
         slots=found.slots,
         is_draining=STATES[found.state],
-        warmup_left=parse_duration(found.warmup_left),
+        slow_for=parse_duration(found.warmup_left),
     )
 
 
