Leave a range with an owner that doesn't answer its fencing grant

The lease world had not counted a token as taken once its hold had ended; it does now, and failed. Ruled out: never fencing, which makes each move wait 2.7 s while orders are lost and after each change of leader. Change: such a range stays with its owner under a token that is higher still, and moves later; an owner that is silent is waited for and not fenced; the record says whether a former owner may be fenced, and a successor then waits for 12.5 s, the longest that an order may be late.

--- a/laburnumhatch/keyspace/lease.py
+++ b/laburnumhatch/keyspace/lease.py
@@ -81,8 +81,9 @@
 RENEWALS_A_HOLD = 4
 # Hold of a grant that only raises the fencing token at an owner that is about to lose the keys.
 FENCING_HOLD = milliseconds(600)
-# Unanswered attempts to fence an owner after which its lease is waited out instead.
-FENCING_ATTEMPTS = 2
+# Time after which an order that was not answered is carried out no more: the users' page on
+# troubles says up to 12 s.
+LATEST_APPLICATION = milliseconds(12_500)
 
 
 class Phase(Enum):
@@ -109,15 +110,15 @@
         When its last lease has ended at the latest.
     unanswered_until : timedelta
         When the last lease has ended of a grant without an answer, which may be applied late.
-    attempts : int
-        Orders in the present phase that were not answered.
+    is_fenced : bool
+        Whether it is granted a higher token before its release; the record says so before that.
     """
 
     life: UpstreamLife
     fence: int
     until: timedelta
     unanswered_until: timedelta
-    attempts: int = 0
+    is_fenced: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -136,6 +137,9 @@
     handover : str or None
     held_until, unanswered_until : timedelta
         As in `Former`, of the owner.
+    lower_until : timedelta
+        Until when a grant under a lower token of the owner may be applied, as long as it has not
+        acknowledged the present one.
     missed : int
         Renewals in a row that were not answered.
     next_call : timedelta
@@ -156,6 +160,7 @@
     handover: str | None = None
     held_until: timedelta = NEVER
     unanswered_until: timedelta = NEVER
+    lower_until: timedelta = NEVER
     missed: int = 0
     next_call: timedelta = NEVER
     in_flight: bool = False
@@ -172,7 +177,12 @@
 
 
 def begin_move(
-    lease: RangeLease, to: UpstreamLife, take_fences: Callable[[int], int], now: timedelta
+    lease: RangeLease,
+    to: UpstreamLife,
+    take_fences: Callable[[int], int],
+    now: timedelta,
+    *,
+    may_fence: bool = True,
 ) -> None:
     """Give a range to another owner; the change has to be written before any order.
 
@@ -183,19 +193,28 @@
     take_fences : callable
         Takes a number of tokens, returns the last of them.
     now : timedelta
+    may_fence : bool, optional
+        Whether the owner can be expected to answer.
     """
     if lease.in_flight:
         # The answer will belong to an epoch that is over, so the order counts as unanswered.
         lease.unanswered_until = lease.held_until
         if lease.former is not None:
             lease.former.unanswered_until = lease.former.until
-    if lease.held_until > now:
+    unanswered_until = max(lease.unanswered_until, lease.lower_until)
+    if max(lease.held_until, lease.lower_until) > now:
         # An owner gets grants only once what came before it is settled.
-        lease.former = Former(lease.owner, lease.fence, lease.held_until, lease.unanswered_until)
+        lease.former = Former(
+            lease.owner,
+            lease.fence,
+            lease.held_until,
+            unanswered_until,
+            is_fenced=may_fence and unanswered_until > now,
+        )
         lease.handover = None
     lease.owner = to
     lease.fence = take_fences(2)
-    lease.held_until = lease.unanswered_until = NEVER
+    lease.held_until = lease.unanswered_until = lease.lower_until = NEVER
     lease.is_confirmed = False
     lease.missed = 0
     lease.moved = now
@@ -209,8 +228,11 @@
     former = lease.former
     if former is None or now >= former.until:
         _enter(lease, Phase.GRANTING, now)
-    elif former.unanswered_until > now:
+    elif former.is_fenced:
         _enter(lease, Phase.FENCING, now)
+    elif former.unanswered_until > now:
+        former.until = max(former.until, former.unanswered_until)
+        _enter(lease, Phase.WAITING, now)
     else:
         _enter(lease, Phase.RELEASING, now)
 
@@ -275,13 +297,14 @@
     """Take the result of an order that belongs to the lease's present epoch."""
     lease.in_flight = False
     if isinstance(order, ReleaseOrder) or order.to != lease.owner:
-        _note_former_result(lease, order, result, sent, timing, now)
+        _note_former_result(lease, order, result, sent, take_fences, timing, now)
         return
     match result:
         case OrderDone():
             lease.missed = 0
             lease.handover = None
             lease.is_confirmed = True
+            lease.lower_until = NEVER
             if lease.phase is Phase.GRANTING:
                 _enter(lease, Phase.HELD, now)
             lease.next_call = sent + min(timing.renew_interval, order.hold / RENEWALS_A_HOLD)
@@ -296,7 +319,7 @@
                 end = timing.end_of_hold(sent, order.hold)
                 lease.unanswered_until = max(lease.unanswered_until, end)
         case TargetGone():
-            lease.held_until = lease.unanswered_until = NEVER
+            lease.held_until = lease.unanswered_until = lease.lower_until = NEVER
             lease.is_confirmed = False
             lease.missed = RENEWALS_MISSED
             lease.next_call = now + timing.retry_interval
@@ -307,6 +330,7 @@
     order: GrantOrder | ReleaseOrder,
     result: CallResult,
     sent: timedelta,
+    take_fences: Callable[[int], int],
     timing: LeaseTiming,
     now: timedelta,
 ) -> None:
@@ -335,13 +359,36 @@
             # A higher token is at work there, of which this leader knows nothing: wait.
             _enter(lease, Phase.WAITING, now)
         case NoAnswer(never_sent=never_sent):
-            former.attempts += 1
             lease.next_call = now + timing.retry_interval
             if isinstance(order, GrantOrder) and not never_sent:
-                end = timing.end_of_hold(sent, order.hold)
-                former.unanswered_until = max(former.unanswered_until, end)
-            if isinstance(order, GrantOrder) and former.attempts >= FENCING_ATTEMPTS:
-                _enter(lease, Phase.WAITING, now)
+                _return_to_former(lease, former, sent, take_fences, now)
+
+
+def _return_to_former(
+    lease: RangeLease,
+    former: Former,
+    sent: timedelta,
+    take_fences: Callable[[int], int],
+    now: timedelta,
+) -> None:
+    """Leave a range with the owner that did not answer a fencing grant.
+
+    Notes
+    -----
+    That grant may be applied seconds later, and must not be once the next owner has a higher token.
+    Under a token of its own that is higher still the former owner refuses it.
+    """
+    lease.owner = former.life
+    lease.fence = take_fences(2)
+    lease.held_until = former.until
+    lease.unanswered_until = NEVER
+    lease.lower_until = max(former.unanswered_until, sent + LATEST_APPLICATION)
+    # It has to answer something before it counts as able to take orders.
+    lease.missed = RENEWALS_MISSED
+    lease.is_confirmed = True
+    lease.former = None
+    lease.moved = now
+    _enter(lease, Phase.UNWRITTEN, now)
 
 
 def _enter(lease: RangeLease, phase: Phase, now: timedelta) -> None:
@@ -349,5 +396,3 @@
     lease.epoch += 1
     lease.in_flight = False
     lease.next_call = now
-    if lease.former is not None:
-        lease.former.attempts = 0
--- a/laburnumhatch/keyspace/row.py
+++ b/laburnumhatch/keyspace/row.py
@@ -31,6 +31,8 @@
     former_until : timedelta or None
         What the store's clock shows when the former owner's last lease has ended, as far as the
         writer granted any; None where it didn't know.
+    is_former_fenced : bool
+        Whether the former owner may have been granted a higher token since.
     """
 
     first: int
@@ -40,6 +42,7 @@
     former: UpstreamLife | None
     former_fence: int
     former_until: timedelta | None = None
+    is_former_fenced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +58,8 @@
     # Name and birth of each upstream that the ranges point to by position.
     lives: list[tuple[str, int]]
     # First and last key, the owner's position and token, the former owner's or -1 and 0, and the
-    # end of the former owner's lease in milliseconds or -1.
-    ranges: list[tuple[int, int, int, int, int, int, int]]
+    # end of the former owner's lease in milliseconds or -1, and whether it may have been fenced.
+    ranges: list[tuple[int, int, int, int, int, int, int, bool]]
 
 
 def record_of(
@@ -82,6 +85,7 @@
             lease.former.life if lease.former is not None else None,
             lease.former.fence if lease.former is not None else 0,
             store_time(lease.former.until) if lease.former is not None else None,
+            lease.former is not None and lease.former.is_fenced,
         )
         for lease in leases
     )
@@ -104,6 +108,7 @@
             position(r.former),
             r.former_fence,
             _milliseconds(r.former_until),
+            r.is_former_fenced,
         )
         for r in record.ranges
     ]
@@ -125,13 +130,15 @@
         raise ValueError(f"not a record of owners: {e}") from e
     lives = [UpstreamLife(name, born) for name, born in row.lives]
     ranges = []
-    for first, last, owner, fence, former, former_fence, until_ms in row.ranges:
+    for first, last, owner, fence, former, former_fence, until_ms, is_fenced in row.ranges:
         if not (0 <= owner < len(lives) and -1 <= former < len(lives) and first <= last):
             raise ValueError(f"not a record of owners: range {first} to {last}")
         former_life = lives[former] if former >= 0 else None
         until = milliseconds(until_ms) if until_ms >= 0 else None
         ranges.append(
-            RecordedRange(first, last, lives[owner], fence, former_life, former_fence, until)
+            RecordedRange(
+                first, last, lives[owner], fence, former_life, former_fence, until, is_fenced
+            )
         )
     return ServiceRecord(row.last_fence, tuple(ranges))
 
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -10,6 +10,7 @@
 from .key_rates import KeyRates
 from .lease import (
     FENCING_HOLD,
+    LATEST_APPLICATION,
     NEVER,
     RENEWALS_MISSED,
     Former,
@@ -139,6 +140,9 @@
         lease.is_confirmed = found.former is None
         if found.former is not None:
             until = _end_of_former(found, timing, passed_by, now) or latest
+            if found.is_former_fenced:
+                # The fencing grant may be applied late, under a token that is new to that owner.
+                until = max(until, now + LATEST_APPLICATION)
             lease.former = Former(found.former, found.former_fence, until, until)
             lease.phase = Phase.RELEASING
         leases.leases.append(lease)
@@ -230,11 +234,12 @@
     load = _load_by_owner(leases, now)
     moves = []
     for lease in leaving:
+        is_silent = lease.owner in silent
         pieces = PIECES_OF_A_LEAVER if lease.phase is Phase.HELD and not lease.in_flight else 1
         for piece in _cut_evenly(leases, lease, min(pieces, len(able))):
             to = min(able, key=lambda life: load.get(life, 0.0) / usable[life].slots)
             load[to] = load.get(to, 0.0) + _load_of(leases, piece)
-            begin_move(piece, to, leases.take_fences, now)
+            begin_move(piece, to, leases.take_fences, now, may_fence=not is_silent)
             moves.append(KeyMove(piece.first, piece.last, to))
     return moves
 
--- a/laburnumhatch/keyspace/tests/lease_world.py
+++ b/laburnumhatch/keyspace/tests/lease_world.py
@@ -232,9 +232,11 @@
             return GrantRefused()
         until = arrived + order.hold * upstream.clock_factor
         for key in range(order.first, order.last + 1):
+            is_new = upstream.keys[key].fence != order.fence
             upstream.keys[key].fence = order.fence
-            if until > self.now:
+            if until > self.now or is_new:
                 self._check(upstream, key, order.fence)
+            if until > self.now:
                 upstream.keys[key].until = until
         self.grants += 1
         return OrderDone()
