--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -278,6 +278,7 @@
         left.last = right.last
         left.held_until = max(left.held_until, right.held_until)
         left.unanswered_until = max(left.unanswered_until, right.unanswered_until)
+        left.lower_until = max(left.lower_until, right.lower_until)
         # One grant names one token, so the joined range needs a new one.
         left.fence = leases.take_fences(2)
         left.phase = Phase.UNWRITTEN
@@ -327,6 +328,7 @@
         lease.phase,
         held_until=lease.held_until,
         unanswered_until=lease.unanswered_until,
+        lower_until=lease.lower_until,
         next_call=lease.next_call,
         moved=lease.moved,
         is_confirmed=lease.is_confirmed,
