Fence owners that restarted, so that they take no late grant of lost keys

The leader held the token for acknowledged, as the former process had acknowledged it, and only waited for the end of the lease. The renewal may be applied up to 12.5 s after its sending, under a token that is new to the restarted process and below the next owner's.

Change: the registry shows the new start time. A restarted owner that may hold an unanswered grant is granted a higher token before it is told to release; the same holds for a former owner whose lease is being waited for, once its restart is seen. The change is written to the store first, as for every fencing grant. Ranges whose next owner may hold them already are left alone.

The lease world now tells the leader of restarts, up to 1.4 s late, and runs the replacement of owners that leave.

Ruled out: waiting 12.5 s for each lost owner; that costs every crash of an upstream ten seconds of its keys.

A run now reserves its network by a listening socket on the first address, and tries the next one if that is taken.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -30,6 +30,7 @@
     UpstreamReplaced,
 )
 from ..keyspace.lease import apply_result, continue_after_write, next_order, register_order
+from ..keyspace.restarts import fence_restarted_former_owners
 from ..keyspace.service_leases import (
     adopt_record,
     assign_initial_owners,
@@ -374,7 +375,18 @@
                 )
             return
         assignable = [incarnation for incarnation in usable if self._is_reachable(incarnation, now)]
-        for move in replace_unusable_owners(leases, usable, assignable, unresponsive, now):
+        registered = {name: upstream.incarnation for name, upstream in self._upstreams.items()}
+        for lease in fence_restarted_former_owners(leases, registered, now):
+            _log.info(
+                "keys {}-{} of {} wait until {}, which has restarted, refuses late grants",
+                lease.first,
+                lease.last,
+                leases.service,
+                lease.former.incarnation.name if lease.former is not None else "",
+            )
+        for move in replace_unusable_owners(
+            leases, usable, assignable, unresponsive, registered, now
+        ):
             _log.info(
                 "keys {}-{} of {} go from {} to {}: {}",
                 move.first,
--- a/laburnumhatch/keyspace/lease.py
+++ b/laburnumhatch/keyspace/lease.py
@@ -33,6 +33,7 @@
     "Phase",
     "RangeLease",
     "begin_move",
+    "enter_phase",
     "next_order",
     "apply_result",
     "register_order",
@@ -250,7 +251,7 @@
     lease.is_token_acknowledged = lease.is_confirmed = False
     lease.missed_renewals = 0
     lease.moved_at = now
-    _enter_phase(lease, Phase.UNRECORDED, now)
+    enter_phase(lease, Phase.UNRECORDED, now)
 
 
 def continue_after_write(lease: RangeLease, now: timedelta) -> None:
@@ -259,14 +260,14 @@
         return
     former = lease.former
     if former is None or now >= former.expires_at:
-        _enter_phase(lease, Phase.GRANTING, now)
+        enter_phase(lease, Phase.GRANTING, now)
     elif former.needs_fencing:
-        _enter_phase(lease, Phase.FENCING, now)
+        enter_phase(lease, Phase.FENCING, now)
     elif former.unanswered_grant_until > now:
         former.expires_at = max(former.expires_at, former.unanswered_grant_until)
-        _enter_phase(lease, Phase.AWAITING_EXPIRY, now)
+        enter_phase(lease, Phase.AWAITING_EXPIRY, now)
     else:
-        _enter_phase(lease, Phase.RELEASING, now)
+        enter_phase(lease, Phase.RELEASING, now)
 
 
 def next_order(
@@ -285,7 +286,7 @@
     former = lease.former
     if former is not None and now >= former.expires_at and lease.phase is not Phase.UNRECORDED:
         lease.former = None
-        _enter_phase(lease, Phase.GRANTING, now)
+        enter_phase(lease, Phase.GRANTING, now)
     if lease.has_order_in_flight or now < lease.next_order_at:
         return None
     if lease.phase in (Phase.GRANTING, Phase.HELD):
@@ -347,7 +348,7 @@
             lease.is_confirmed = lease.is_token_acknowledged = True
             lease.new_token_deadline = NEVER
             if lease.phase is Phase.GRANTING:
-                _enter_phase(lease, Phase.HELD, now)
+                enter_phase(lease, Phase.HELD, now)
             lease.next_order_at = sent_at + min(
                 timing.renew_interval, order.lease_duration / RENEWALS_PER_LEASE
             )
@@ -355,7 +356,7 @@
             # A higher token has been used; allocate one above all tokens that were written.
             lease.fencing_token = allocate_tokens(2)
             lease.is_token_acknowledged = False
-            _enter_phase(lease, Phase.UNRECORDED, now)
+            enter_phase(lease, Phase.UNRECORDED, now)
         case NoAnswer(never_sent=never_sent):
             lease.missed_renewals += 1
             lease.next_order_at = now + timing.retry_interval
@@ -394,24 +395,24 @@
     match result:
         case UpstreamReplaced():
             lease.former = None
-            _enter_phase(lease, Phase.GRANTING, now)
+            enter_phase(lease, Phase.GRANTING, now)
         case OrderAcknowledged(handover=handover_token) if isinstance(order, ReleaseOrder):
             lease.handover_token = handover_token
             if former.unanswered_grant_until > now:
                 # A late grant may be applied after the release, and no higher token fences it.
                 former.expires_at = former.unanswered_grant_until
-                _enter_phase(lease, Phase.AWAITING_EXPIRY, now)
+                enter_phase(lease, Phase.AWAITING_EXPIRY, now)
                 return
             lease.former = None
-            _enter_phase(lease, Phase.GRANTING, now)
+            enter_phase(lease, Phase.GRANTING, now)
         case OrderAcknowledged():
             # From now on the former owner refuses late grants under the lower token.
             former.fencing_token = order.fencing_token
             former.unanswered_grant_until = NEVER
-            _enter_phase(lease, Phase.RELEASING, now)
+            enter_phase(lease, Phase.RELEASING, now)
         case GrantRefused():
             # A higher token that this leader doesn't know has been used; wait for the expiry.
-            _enter_phase(lease, Phase.AWAITING_EXPIRY, now)
+            enter_phase(lease, Phase.AWAITING_EXPIRY, now)
         case ConnectionRefused():
             former.is_unresponsive = True
             lease.next_order_at = now + timing.retry_interval
@@ -448,10 +449,11 @@
     lease.is_confirmed = True
     lease.former = None
     lease.moved_at = now
-    _enter_phase(lease, Phase.UNRECORDED, now)
+    enter_phase(lease, Phase.UNRECORDED, now)
 
 
-def _enter_phase(lease: RangeLease, phase: Phase, now: timedelta) -> None:
+def enter_phase(lease: RangeLease, phase: Phase, now: timedelta) -> None:
+    """Set the phase of a lease; results of earlier orders are ignored from now on."""
     lease.phase = phase
     lease.epoch += 1
     lease.has_order_in_flight = False
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -248,6 +248,7 @@
     usable: Mapping[UpstreamIncarnation, Upstream],
     assignable: Collection[UpstreamIncarnation],
     unresponsive: Collection[UpstreamIncarnation],
+    registered: Mapping[str, UpstreamIncarnation],
     now: timedelta,
 ) -> list[Replacement]:
     """Move ranges away from owners that are draining, unregistered, restarted or unresponsive.
@@ -261,12 +262,15 @@
         Usable upstreams that may receive keys.
     unresponsive : collection of UpstreamIncarnation
         Upstreams that can't be expected to answer.
+    registered : mapping of str to UpstreamIncarnation
+        Registered process of each upstream, by name.
     now : timedelta
 
     Notes
     -----
     An upstream that restarted under the same name is ordered to release as well: it may have
-    applied grants that were sent to its former process.
+    applied grants that were sent to its former process. Those that were not answered have a token
+    that is new to the present process, which is therefore fenced first.
     """
     leaving_leases = [x for x in leases.leases if x.is_movable and x.owner not in usable]
     if not assignable or not leaving_leases:
@@ -275,6 +279,17 @@
     moves = []
     for lease in leaving_leases:
         is_unresponsive = lease.owner in unresponsive
+        former = lease.owner
+        process = registered.get(former.name, former)
+        if process != former:
+            is_unresponsive = False
+            lease.owner = process
+            may_have_late_grant = lease.has_order_in_flight or now < (
+                lease.unanswered_grant_until + MAX_APPLICATION_DELAY
+            )
+            # With a former owner, this owner has received no grant yet.
+            if lease.former is None and may_have_late_grant:
+                lease.new_token_deadline = now + MAX_APPLICATION_DELAY
         may_split = lease.phase is Phase.HELD and not lease.has_order_in_flight
         pieces = PIECES_PER_LEAVING_RANGE if may_split and len(leases.leases) < MAX_RANGES else 1
         for piece in _split_by_load(leases, lease, min(pieces, len(assignable))):
@@ -283,7 +298,7 @@
                 key=lambda incarnation: load.get(incarnation, 0.0) / usable[incarnation].slots,
             )
             load[new_owner] = load.get(new_owner, 0.0) + _load_of(leases, piece)
-            moves.append(Replacement(piece.first, piece.last, piece.owner, new_owner))
+            moves.append(Replacement(piece.first, piece.last, former, new_owner))
             begin_move(piece, new_owner, leases.allocate_tokens, now, may_fence=not is_unresponsive)
     return moves
 
--- a/laburnumhatch/keyspace/tests/lease_world.py
+++ b/laburnumhatch/keyspace/tests/lease_world.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 
 from ...clocks import milliseconds
-from ...fleet import UpstreamIncarnation
+from ...fleet import Upstream, UpstreamIncarnation
 from .. import GrantOrder, LeaseTiming, RangeLease, ReleaseOrder, ServiceLeases
 from ..balance import KeyMove
 from ..effects import CallResult, ConnectionRefused, GrantRefused, NoAnswer, OrderAcknowledged
@@ -22,13 +22,22 @@
     next_order,
     register_order,
 )
+from ..restarts import fence_restarted_former_owners
 from ..row import ServiceRecord, record_of
-from ..service_leases import adopt_record, is_stable, merge_adjacent_ranges, move_keys
+from ..service_leases import (
+    adopt_record,
+    is_stable,
+    merge_adjacent_ranges,
+    move_keys,
+    replace_unusable_owners,
+)
 
 KEY_COUNT = 12
 KEYS_PER_RANGE = 2
 STEP = milliseconds(50)
 AUTHORITY_DURATION = milliseconds(1800)
+# Longest time until the leader knows that an upstream has restarted: a heartbeat and a read.
+MAX_REGISTRY_LAG = milliseconds(1400)
 UPSTREAMS = tuple(UpstreamIncarnation(f"u{i}", 1) for i in range(4))
 
 
@@ -88,6 +97,8 @@
         Called with the lease after each result, to inject a protocol violation.
     records_tokens : bool
         Whether the record holds the last allocated fencing token.
+    fences_restarted : bool
+        Whether the leader takes account of restarts that the registry shows.
     """
 
     def __init__(
@@ -97,15 +108,18 @@
         adopt: Callable[..., None] = adopt_record,
         after_result: Callable[[RangeLease], None] = lambda lease: None,
         records_tokens: bool = True,
+        fences_restarted: bool = True,
     ) -> None:
         self.random = random.Random(seed)
         self.network = network
         self.adopt = adopt
         self.after_result = after_result
         self.records_tokens = records_tokens
+        self.fences_restarted = fences_restarted
         self.now = timedelta(seconds=1)
         self.timing = LeaseTiming()
-        self.upstreams = {incarnation: FakeUpstream(incarnation) for incarnation in UPSTREAMS}
+        self.upstreams = {i.name: FakeUpstream(i) for i in UPSTREAMS}
+        self.registered = {i.name: i for i in UPSTREAMS}
         self.events: list[tuple[timedelta, int, Callable[[], object]]] = []
         self.sequence = 0
         self.grant_count = 0
@@ -131,6 +145,8 @@
                 self._maybe_inject_fault()
             if self.former is not None and self.now >= self.former.authority_ends_at:
                 self.former = None
+            if self.fences_restarted:
+                self._replace_restarted_owners()
             for actor in filter(None, (self.former, self.leader)):
                 self._act(actor)
 
@@ -197,14 +213,32 @@
         elif draw < 0.07:
             upstream = self.random.choice(list(self.upstreams.values()))
             upstream.is_up = not upstream.is_up
-            if not upstream.is_up:
+            if upstream.is_up:
+                self._register(upstream)
+            else:
                 upstream.stop_count += 1
                 upstream.keys = [Holding() for _ in range(KEY_COUNT)]
 
+    def _register(self, upstream: FakeUpstream) -> None:
+        """Give a restarted upstream its new start time, which the registry shows later."""
+        name, started_at_ms = upstream.incarnation
+        upstream.incarnation = restarted = UpstreamIncarnation(name, started_at_ms + 1)
+        # Drawn from a source of its own, so that the other faults of a seed stay the same.
+        lag = MAX_REGISTRY_LAG * random.Random(f"{name}/{started_at_ms}").random()
+        self._later(lag, lambda: self.registered.update({name: restarted}))
+
+    def _replace_restarted_owners(self) -> None:
+        """Move keys away from owners that restarted, as far as the registry shows it."""
+        leases = self.leader.leases
+        fence_restarted_former_owners(leases, self.registered, self.now)
+        usable = {
+            incarnation: Upstream(incarnation, "s", "127.0.0.1", 1, "", 1, False, timedelta())
+            for incarnation in self.registered.values()
+        }
+        replace_unusable_owners(leases, usable, usable, (), self.registered, self.now)
+
     def _other_upstream(self, owner: UpstreamIncarnation) -> UpstreamIncarnation:
-        return self.random.choice(
-            [incarnation for incarnation in UPSTREAMS if incarnation != owner]
-        )
+        return self.random.choice([i for i in self.registered.values() if i.name != owner.name])
 
     def _split_and_move(self, lease: RangeLease) -> None:
         if is_stable(lease, self.now):
@@ -235,7 +269,7 @@
                 apply_result(lease, order, result, sent, take, self.timing, self.now)
                 self.after_result(lease)
 
-        upstream = self.upstreams[order.upstream]
+        upstream = self.upstreams[order.upstream.name]
         if not upstream.is_up or self.now < upstream.unreachable_until:
             refused = upstream.is_up or self.random.random() < 0.5
             delay = milliseconds(5) if refused else self.timing.order_timeout
--- a/laburnumhatch/keyspace/tests/test_lease_protocol.py
+++ b/laburnumhatch/keyspace/tests/test_lease_protocol.py
@@ -78,6 +78,7 @@
         ({"adopt": adopt_without_waiting_for_former_owners}, DELAYING),
         ({"after_result": forget_unanswered_grants}, DELAYING),
         ({"records_tokens": False}, RELIABLE),
+        ({"fences_restarted": False}, DELAYING),
     ],
     ids=[
         "no waiting for recorded leases",
@@ -86,9 +87,10 @@
         "former lease not waited for",
         "unanswered grants forgotten",
         "tokens not recorded",
+        "restarts not taken account of",
     ],
 )
 def test_protocol_violation_is_detected(fault, network):
     with pytest.raises(DoubleOwnership):
-        for seed in range(60):
+        for seed in (*range(60), 584):
             LeaseWorld(seed, network, **fault).run(STEPS)
--- a/laburnumhatch/soak/run.py
+++ b/laburnumhatch/soak/run.py
@@ -12,8 +12,9 @@
 from ..standins.processes import ProcessGroup
 from .callers import KINDS
 from .faults import FAULT_WEIGHTS, Fault
+from .network import reserve_network
 from .record import Finding
-from .world import World, choose_network
+from .world import World
 
 __all__ = ["SoakResult", "run_soak"]
 
@@ -71,10 +72,8 @@
         Number of the run in this process, from which its addresses are derived.
     """
     plan = plan_faults(random.Random(seed), duration)
-    with ProcessGroup(clock, directory) as processes:
-        world = World(
-            reactor, clock, processes, random.Random(seed + 1), choose_network(run_number)
-        )
+    with reserve_network(run_number) as network, ProcessGroup(clock, directory) as processes:
+        world = World(reactor, clock, processes, random.Random(seed + 1), network)
         world.start()
         world.start_callers()
         try:
--- a/laburnumhatch/soak/world.py
+++ b/laburnumhatch/soak/world.py
@@ -1,7 +1,6 @@
 """Environment of a soak run: processes, stand-ins and links."""
 
 import json
-import os
 import random
 import signal
 import time
@@ -30,7 +29,7 @@
 from .proxy import FaultyProxy, LinkFaults
 from .record import FaultHistory
 
-__all__ = ["KEYED_SERVICE", "UNKEYED_SERVICE", "Instance", "World", "choose_network"]
+__all__ = ["KEYED_SERVICE", "UNKEYED_SERVICE", "Instance", "World"]
 
 KEYED_SERVICE, UNKEYED_SERVICE = "lofts", "bookings"
 KEYED_UPSTREAM_COUNT, UNKEYED_UPSTREAM_COUNT = 5, 3
@@ -373,9 +372,3 @@
             if self.address_index_of(upstream) == address_index:
                 return self.links[name]
         return self._link(address, listen_address)
-
-
-def choose_network(run_number: int) -> str:
-    """Return the first three octets of the loopback addresses of a run in this process."""
-    process = os.getpid()
-    return f"127.{1 + process % 250}.{1 + (process // 250 + run_number) % 250}"
