Bound what bytes that are no answer can take, and tell orders' answers apart

Change: at most 16 interim responses, 16 responses to other requests and 1 MiB of their bodies; bodies in byte arrays; bodies that aren't delivered are not kept; calls of the daemon itself have a longest body (8 MiB for the store, 64 KiB for orders and health checks); orders bear an identifier, and an answer with another one is skipped.

--- a/laburnumhatch/gateway/relay.py
+++ b/laburnumhatch/gateway/relay.py
@@ -8,7 +8,7 @@
 __all__ = ["ResponseRelay"]
 
 # Responses up to this size are buffered, so that the request can be retried if the connection is
-# lost within the response. Longer responses are streamed.
+# lost within the response or if the upstream reports a failure. Longer responses are streamed.
 MAX_BUFFERED_BYTES = 262_144
 
 
@@ -26,17 +26,25 @@
     status : int
     is_streaming : bool
         Whether the caller has received a part of the response.
+    discarded_bytes : int
+        Length of the body of a response that isn't delivered.
     """
 
     def __init__(self, request: CallerRequest) -> None:
         self._request = request
         self._fields: HeaderFields = []
         self._length: int | None = None
-        self._buffer: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffer = bytearray()
         self.outcome: AttemptOutcome | None = None
         self.status = 0
         self.is_streaming = False
+        self.discarded_bytes = 0
+
+    @property
+    def is_deliverable(self) -> bool:
+        """Whether the response is an upstream's own and is delivered if it is complete."""
+        kinds = (OutcomeKind.SUCCESS, OutcomeKind.FAILED)
+        return self.outcome is not None and self.outcome.kind in kinds
 
     def on_header(
         self, outcome: AttemptOutcome, status: int, fields: HeaderFields, length: int | None
@@ -46,22 +54,25 @@
         self.status, self._fields, self._length = status, fields, length
 
     def on_body(self, data: bytes, connection: OutboundConnection | None) -> None:
-        """Handle a part of the body, received on `connection`."""
+        """Handle a part of the body, received on `connection`.
+
+        The body of a response that isn't delivered is not kept.
+        """
         if self.is_streaming:
             self._request.write(data)
-            return
-        self._buffer.append(data)
-        self._buffered_bytes += len(data)
-        is_success = self.outcome is not None and self.outcome.kind is OutcomeKind.SUCCESS
-        if is_success and self._buffered_bytes > MAX_BUFFERED_BYTES:
-            self._start_streaming(connection)
+        elif self.is_deliverable:
+            self._buffer += data
+            if len(self._buffer) > MAX_BUFFERED_BYTES:
+                self._start_streaming(connection)
+        else:
+            self.discarded_bytes += len(data)
 
     def deliver(self) -> None:
         """Send the complete response, or the end of a streamed one, to the caller."""
         if self.is_streaming:
             self._request.end()
         else:
-            body = b"".join(self._buffer)
+            body = bytes(self._buffer)
             self._request.respond(self.status, end_to_end_fields(self._fields), body)
 
     def abort_response(self) -> None:
@@ -71,8 +82,7 @@
     def _start_streaming(self, connection: OutboundConnection | None) -> None:
         self.is_streaming = True
         self._request.begin(self.status, end_to_end_fields(self._fields), self._length)
-        for data in self._buffer:
-            self._request.write(data)
-        self._buffer = []
+        self._request.write(bytes(self._buffer))
+        self._buffer.clear()
         if connection is not None:
             self._request.throttle(connection.pause, connection.resume)
--- a/laburnumhatch/platform/order_sender.py
+++ b/laburnumhatch/platform/order_sender.py
@@ -1,5 +1,6 @@
 """Sender of grants and releases of keys to upstreams over HTTP."""
 
+import secrets
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -14,11 +15,22 @@
     UpstreamReplaced,
 )
 from ..transport import CallFailed, HttpCaller
+from ..transport.fields import HeaderFields
 from .grants import GRANT_PATH, RELEASE_PATH, encode_grant, encode_release
-from .headers import EXPECTED_UPSTREAM, HANDOVER, MISDIRECTED, UPSTREAM_NAME, find_header
+from .headers import (
+    ATTEMPT_ID,
+    EXPECTED_UPSTREAM,
+    HANDOVER,
+    MISDIRECTED,
+    UPSTREAM_NAME,
+    find_header,
+)
 
 __all__ = ["PlatformOrderSender"]
 
+# Longest body of the answer to an order or to a health check.
+MAX_ANSWER_BYTES = 65_536
+
 OK = 200
 CONFLICT = 409
 
@@ -55,10 +67,25 @@
             path, body = GRANT_PATH, encode_grant(order)
         else:
             path, body = RELEASE_PATH, encode_release(order)
-        fields = [(EXPECTED_UPSTREAM, order.upstream.name.encode())]
+        call_id = secrets.token_hex(8).encode()
+        fields = [(EXPECTED_UPSTREAM, order.upstream.name.encode()), (ATTEMPT_ID, call_id)]
+
+        def matches_response(status: int, response_fields: HeaderFields) -> bool:
+            # A second copy of the answer to an earlier order bears the identifier of that order.
+            return find_header(response_fields, ATTEMPT_ID) in (None, call_id)
+
         host, port = address
         response = await self._caller.call(
-            host, port, b"POST", path, body, timeout, fields, may_send
+            host,
+            port,
+            b"POST",
+            path,
+            body,
+            timeout,
+            fields,
+            may_send,
+            MAX_ANSWER_BYTES,
+            matches_response,
         )
         if isinstance(response, CallFailed):
             return ConnectionRefused() if response.is_refused else NoAnswer(response.was_not_sent)
@@ -77,7 +104,9 @@
     ) -> bool:
         """Return whether an upstream answers a health check, whatever health it reports."""
         host, port = address
-        response = await self._caller.call(host, port, b"GET", path.encode(), b"", timeout)
+        response = await self._caller.call(
+            host, port, b"GET", path.encode(), b"", timeout, max_body_bytes=MAX_ANSWER_BYTES
+        )
         if isinstance(response, CallFailed):
             return False
         return find_header(response.fields, UPSTREAM_NAME) == name.encode()
--- a/laburnumhatch/transport/http_caller.py
+++ b/laburnumhatch/transport/http_caller.py
@@ -15,6 +15,8 @@
 
 # Multiple of the timeout within which a response must be complete, even while parts keep arriving.
 MAX_TIMEOUT_MULTIPLE = 6
+# Longest body of a response by default: several times the store's longest.
+MAX_BODY_BYTES = 8 * 1_048_576
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +53,8 @@
     to the response as a whole.
     """
 
-    def __init__(self, clock: Clock, timeout: timedelta) -> None:
+    def __init__(self, clock: Clock, timeout: timedelta, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
         self._clock = clock
         self._timeout = timeout
         self._deadline = clock.now() + timeout * MAX_TIMEOUT_MULTIPLE
@@ -60,30 +63,35 @@
         self.call: PooledCall | None = None
         self._status = 0
         self._fields: HeaderFields = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
 
     def on_header(self, status: int, fields: HeaderFields, length: int | None) -> None:
         self._status, self._fields = status, fields
         self._extend_timeout()
 
     def on_body(self, data: bytes) -> None:
-        self._body.append(data)
+        self._body += data
+        if len(self._body) > self._max_body_bytes:
+            self._body.clear()
+            self._abort(f"the response's body exceeds {self._max_body_bytes} bytes")
+            return
         self._extend_timeout()
 
     def on_end(self) -> None:
-        self._finish(Response(self._status, self._fields, b"".join(self._body)))
+        self._finish(Response(self._status, self._fields, bytes(self._body)))
 
     def on_failure(self, failure: CallFailure) -> None:
         is_refused = failure.kind is FailureKind.REFUSED
         self._finish(CallFailed(failure.reason, failure.was_not_sent, is_refused))
 
     def timed_out(self) -> None:
+        self._abort("no complete response within the timeout")
+
+    def _abort(self, reason: str) -> None:
         was_sent = self.call is not None and self.call.connection is not None
         if self.call is not None:
             self.call.abort()
-        self._finish(
-            CallFailed("no complete response within the timeout", was_not_sent=not was_sent)
-        )
+        self._finish(CallFailed(reason, was_not_sent=not was_sent))
 
     def _extend_timeout(self) -> None:
         """Restart the timeout for the next part: a long response takes long on a slow link."""
@@ -117,6 +125,8 @@
         timeout: timedelta,
         fields: HeaderFields | None = None,
         may_send: Callable[[], bool] = lambda: True,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        matches_response: Callable[[int, HeaderFields], bool] = lambda status, fields: True,
     ) -> Response | CallFailed:
         """Send a request and return the complete response, or a `CallFailed` without one.
 
@@ -129,6 +139,11 @@
         may_send : callable, optional
             Returns whether the request may still be sent. Called immediately before it is sent,
             which may be after a connection has been opened.
+        max_body_bytes : int, optional
+            Longest body of the response; the call fails if it is longer.
+        matches_response : callable, optional
+            Takes the status and the header fields of a response and returns whether it belongs to
+            this call. Others are discarded.
 
         Notes
         -----
@@ -141,8 +156,8 @@
             request_fields.insert(0, (b"host", f"{host}:{port}".encode()))
         if body:
             request_fields.append((b"content-type", b"application/json"))
-        request = OutboundRequest(method, target, request_fields, body, lambda status, fields: True)
-        collector = _ResponseCollector(self._clock, timeout)
+        request = OutboundRequest(method, target, request_fields, body, matches_response)
+        collector = _ResponseCollector(self._clock, timeout, max_body_bytes)
 
         def make_request() -> OutboundRequest | None:
             if may_send():
--- a/laburnumhatch/transport/inbound.py
+++ b/laburnumhatch/transport/inbound.py
@@ -111,7 +111,7 @@
         limits = factory.limits()
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._request: CallerRequest | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._is_response_pending = False
         self._is_closed = False
@@ -242,14 +242,14 @@
         limits = self.factory.limits()
         if isinstance(event, h11.Request):
             self._request = CallerRequest(self, event, self.factory.clock.now())
-            self._body, self._body_bytes = [], 0
+            self._body, self._body_bytes = bytearray(), 0
             self._set_timer(limits.idle_timeout, self._on_request_timeout)
             framing_error = _find_framing_error(self._request.fields, limits)
             if framing_error is not None:
                 self._reject(*framing_error)
                 return False
         elif isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
+            self._body += event.data
             self._body_bytes += len(event.data)
             if self._body_bytes > limits.max_body_bytes:
                 self._reject(413, "the body is too large")
@@ -257,8 +257,8 @@
         elif isinstance(event, h11.EndOfMessage):
             request = self._request
             assert request is not None
-            request.body = b"".join(self._body)
-            self._body = []
+            request.body = bytes(self._body)
+            self._body = bytearray()
             self._clear_timer()
             self._is_response_pending = True
             self.factory.handle(request)
--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -24,6 +24,11 @@
 ]
 
 MAX_RESPONSE_HEADER_BYTES = 65_536
+# Bounds of what is read and discarded before the response: interim (1xx) responses, and bodies of
+# responses to other requests.
+MAX_INTERIM_RESPONSES = 16
+MAX_DISCARDED_BYTES = 1_048_576
+MAX_DISCARDED_RESPONSES = 16
 # Time without an acknowledgement after which the kernel closes the connection because the peer's
 # machine is unreachable. It covers many round trips of the networks in the users' site files.
 TCP_USER_TIMEOUT_MS = 1000
@@ -162,6 +167,8 @@
         self._request: OutboundRequest | None = None
         self._receiver: ResponseReceiver | None = None
         self._is_mismatched = False
+        self._interim_count = 0
+        self._discarded_bytes = 0
         self._is_closed = False
         self.keep_alive_timeout_s: int | None = None
 
@@ -182,6 +189,7 @@
         """
         self._request = request
         self._receiver = receiver
+        self._interim_count = self._discarded_bytes = 0
         self._http, content = _start_cycle(request)
         self.transport.write(content)
         # Otherwise Twisted would write in the next iteration of the event loop, when a lease that
@@ -263,9 +271,17 @@
             self._is_mismatched = not request.matches_response(event.status_code, fields)
             if not self._is_mismatched:
                 receiver.on_header(event.status_code, fields, _content_length(fields))
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise h11.RemoteProtocolError("too many interim responses")
         elif isinstance(event, h11.Data):
             if not self._is_mismatched:
                 receiver.on_body(bytes(event.data))
+                return
+            self._discarded_bytes += len(event.data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                raise h11.RemoteProtocolError("too many bytes of responses to other requests")
         elif isinstance(event, h11.EndOfMessage):
             if self._is_mismatched:
                 self._skip_mismatched_response(request)
@@ -275,6 +291,10 @@
     def _skip_mismatched_response(self, request: OutboundRequest) -> None:
         assert self._http is not None
         trailing = self._http.trailing_data[0]
+        # Counts each response, so that empty ones without end are bounded as well.
+        self._discarded_bytes += MAX_DISCARDED_BYTES // MAX_DISCARDED_RESPONSES
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            raise h11.RemoteProtocolError("too many responses to other requests")
         _log.warning(
             "discarded a response to another request on a connection to {}", self._peer_address()
         )
--- a/laburnumhatch/transport/pool.py
+++ b/laburnumhatch/transport/pool.py
@@ -1,6 +1,6 @@
 """Pool of persistent connections to upstreams."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -174,6 +174,7 @@
         receiver: ResponseReceiver,
         max_idle_time: timedelta = MAX_IDLE_TIME,
         send_delay: timedelta = timedelta(),
+        excluded: Collection[OutboundConnection] = (),
     ) -> PooledCall:
         """Send a request on an idle connection or on a new one.
 
@@ -190,13 +191,15 @@
             Delay between the opening of a new connection and the sending of the request. An
             upstream that accepts no further connections resets the connection within this time,
             so that the request has certainly not been run.
+        excluded : collection of OutboundConnection, optional
+            Connections that are not reused for this request.
 
         Returns
         -------
         PooledCall
         """
         address = (host, port)
-        connection = self._acquire(address, max_idle_time)
+        connection = self._acquire(address, max_idle_time, excluded)
         if connection is not None:
             call = PooledCall(connection)
             outgoing = make_request()
@@ -246,14 +249,23 @@
         for address in list(self._idle):
             self.close_idle(address)
 
-    def _acquire(self, address: Address, max_idle_time: timedelta) -> OutboundConnection | None:
-        idle = self._idle.get(address)
+    def _acquire(
+        self,
+        address: Address,
+        max_idle_time: timedelta,
+        excluded: Collection[OutboundConnection],
+    ) -> OutboundConnection | None:
+        idle = self._idle.get(address, [])
         now = self.clock.now()
-        while idle:
-            idle_since, limit, connection = idle[-1]
+        position = len(idle)
+        while position:
+            position -= 1
+            idle_since, limit, connection = idle[position]
             if now - idle_since > min(limit, max_idle_time):
                 return None
-            idle.pop()
+            if connection in excluded:
+                continue
+            del idle[position]
             if connection.is_reusable():
                 return connection
             connection.abort()
@@ -262,6 +274,8 @@
     def _sweep(self) -> None:
         if self._is_closed:
             return
+        # Scheduled first, so that an unexpected exception ends this sweep only.
+        self.clock.call_later(SWEEP_INTERVAL, self._sweep)
         now = self.clock.now()
         for address, idle in list(self._idle.items()):
             expired = [entry for entry in idle if now - entry[0] > entry[1]]
@@ -270,4 +284,3 @@
                 connection.abort()
             if not self._idle[address]:
                 del self._idle[address]
-        self.clock.call_later(SWEEP_INTERVAL, self._sweep)
--- a/laburnumhatch/transport/tests/test_http_caller.py
+++ b/laburnumhatch/transport/tests/test_http_caller.py
@@ -16,10 +16,12 @@
     def __init__(self):
         self.receivers = []
         self.calls = []
+        self.requests = []
 
     def send(self, host, port, request, receiver):
         outgoing = request()
         call = PooledCall()
+        self.requests.append(outgoing)
         if outgoing is not None:
             call.connection = self
             self.receivers.append(receiver)
@@ -87,3 +89,25 @@
 def test_call_is_not_sent_when_may_send_returns_false(start, pool):
     results = start(may_send=lambda: False)
     assert results[0].was_not_sent and pool.receivers == []
+
+
+def test_body_beyond_the_limit_fails_the_call(clock, pool):
+    results = []
+    caller = HttpCaller(pool, clock)
+    coroutine = caller.call("h", 1, b"GET", b"/", b"", TIMEOUT, max_body_bytes=100)
+    Deferred.fromCoroutine(coroutine).addCallback(results.append)
+    pool.receivers[0].on_header(200, [], None)
+    for _ in range(101):
+        pool.receivers[0].on_body(b"x")
+    (result,) = results
+    assert isinstance(result, CallFailed) and not result.was_not_sent
+    assert pool.calls[0].is_finished
+
+
+def test_answer_to_another_call_does_not_match(clock, pool):
+    coroutine = HttpCaller(pool, clock).call(
+        "h", 1, b"GET", b"/", b"", TIMEOUT, matches_response=lambda status, fields: status == 204
+    )
+    Deferred.fromCoroutine(coroutine)
+    assert pool.requests[0].matches_response(204, [])
+    assert not pool.requests[0].matches_response(200, [])
--- a/laburnumhatch/transport/tests/test_outbound.py
+++ b/laburnumhatch/transport/tests/test_outbound.py
@@ -6,7 +6,7 @@
 
 import socket
 
-from ..outbound import FailureKind
+from ..outbound import MAX_DISCARDED_BYTES, MAX_RESPONSE_HEADER_BYTES, FailureKind
 
 ANSWER = b"HTTP/1.1 200 OK\r\nid: %s\r\ncontent-length: 5\r\n\r\n%s"
 
@@ -106,3 +106,79 @@
     upstream.connection.abort()
     upstream.reset()
     assert receiver.failure is None and not receiver.is_complete
+
+
+def send_without_end(upstream, piece, limit):
+    """Send a piece again and again until the connection is closed; return the number of bytes."""
+    sent = 0
+    while not upstream.transport.is_aborted and sent < limit:
+        upstream.send_bytes(piece)
+        sent += len(piece)
+    return sent
+
+
+def test_endless_status_line_is_bounded(upstream):
+    receiver = upstream.send_request()
+    sent = send_without_end(
+        upstream, b"HTTP/1.1 200 " + b"a" * 4096, 10 * MAX_RESPONSE_HEADER_BYTES
+    )
+    assert sent <= MAX_RESPONSE_HEADER_BYTES + 8192
+    assert receiver.failure.kind is FailureKind.GARBLED
+
+
+def test_endless_header_fields_are_bounded(upstream):
+    receiver = upstream.send_request()
+    upstream.send_bytes(b"HTTP/1.1 200 OK\r\n")
+    sent = send_without_end(upstream, b"x: " + b"y" * 500 + b"\r\n", 10 * MAX_RESPONSE_HEADER_BYTES)
+    assert sent <= MAX_RESPONSE_HEADER_BYTES + 8192
+    assert receiver.failure.kind is FailureKind.GARBLED
+
+
+def test_endless_interim_responses_are_bounded(upstream):
+    receiver = upstream.send_request()
+    send_without_end(upstream, b"HTTP/1.1 102 Processing\r\n\r\n", 100_000)
+    assert receiver.failure.kind is FailureKind.GARBLED
+    assert not receiver.failure.was_not_sent
+
+
+def test_interim_responses_before_the_answer_are_skipped(upstream):
+    receiver = upstream.send_request()
+    upstream.send_bytes(b"HTTP/1.1 103 Early\r\n\r\n" * 3 + ANSWER % (b"a1", b"hello"))
+    assert receiver.body == b"hello"
+
+
+def test_endless_chunk_extension_is_bounded(upstream):
+    receiver = upstream.send_request()
+    upstream.send_bytes(b"HTTP/1.1 200 OK\r\nid: a1\r\ntransfer-encoding: chunked\r\n\r\n5;")
+    send_without_end(upstream, b"e" * 4096, 10 * MAX_RESPONSE_HEADER_BYTES)
+    assert receiver.failure.kind is FailureKind.GARBLED
+
+
+def test_endless_trailers_are_bounded(upstream):
+    receiver = upstream.send_request()
+    upstream.send_bytes(b"HTTP/1.1 200 OK\r\nid: a1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n")
+    send_without_end(upstream, b"t: " + b"v" * 500 + b"\r\n", 10 * MAX_RESPONSE_HEADER_BYTES)
+    assert receiver.failure.kind is FailureKind.GARBLED and not receiver.is_complete
+
+
+def test_endless_body_of_another_answer_is_bounded(upstream):
+    receiver = upstream.send_request(b"a2")
+    upstream.send_bytes(b"HTTP/1.1 200 OK\r\nid: a1\r\ntransfer-encoding: chunked\r\n\r\n")
+    sent = send_without_end(upstream, b"1000\r\n" + b"z" * 4096 + b"\r\n", 4 * MAX_DISCARDED_BYTES)
+    assert sent <= MAX_DISCARDED_BYTES + 16_384
+    assert receiver.failure.kind is FailureKind.GARBLED and receiver.body == b""
+
+
+def test_endless_answers_to_other_requests_are_bounded(upstream):
+    receiver = upstream.send_request(b"a2")
+    send_without_end(upstream, ANSWER % (b"a1", b"stale"), 100_000)
+    assert receiver.failure.kind is FailureKind.GARBLED
+
+
+def test_chunked_answer_without_its_last_chunk_is_not_complete(upstream):
+    receiver = upstream.send_request()
+    upstream.send_bytes(
+        b"HTTP/1.1 200 OK\r\nid: a1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n"
+    )
+    upstream.close()
+    assert not receiver.is_complete and receiver.failure.kind is FailureKind.LOST
