--- a/laburnumhatch/commands/trace.py
+++ b/laburnumhatch/commands/trace.py
@@ -15,6 +15,7 @@
 # Fields of a request's log line that are printed besides its message, in this order.
 SHOWN_FIELDS = (
     "service",
+    "route",
     "key",
     "upstream",
     "after_ms",
--- a/laburnumhatch/coordination/changes.py
+++ b/laburnumhatch/coordination/changes.py
@@ -1,5 +1,6 @@
 """Differences between the state that an instance received and the current state."""
 
+from bisect import bisect_left
 from collections.abc import Mapping
 
 from ..fleet import Upstream, UpstreamIncarnation
@@ -37,25 +38,41 @@
     """Return the changes of an ownership map, or all ranges if there is no previous map."""
     previous_ranges = {r.first: r for r in previous.ranges} if previous is not None else {}
     firsts = {r.first for r in current.ranges}
-    changed = tuple(_to_span(r) for r in current.ranges if previous_ranges.get(r.first) != r)
+    changed = tuple(
+        _to_span(r) for r in current.ranges if _differs(previous_ranges.get(r.first), r)
+    )
     removed = tuple(first for first in previous_ranges if first not in firsts)
     return MapChanges(current.service, current.version, previous is None, changed, removed)
 
 
 def apply_map(previous: OwnershipMap | None, changes: MapChanges) -> OwnershipMap:
     """Return a service's ownership map after applying the changes."""
-    ranges = {}
-    if previous is not None and not changes.is_full:
-        ranges = {r.first: r for r in previous.ranges}
+    is_incremental = previous is not None and not changes.is_full
+    ranges = list(previous.ranges) if previous is not None and is_incremental else []
+    starts = [r.first for r in ranges]  # kept in step with `ranges`
     for first in changes.removed:
-        ranges.pop(first, None)
+        position = bisect_left(starts, first)
+        if position < len(starts) and starts[position] == first:
+            del starts[position], ranges[position]
     for span in changes.changed:
-        owner = UpstreamIncarnation(span.owner, span.started_at_ms)
-        ranges[span.first] = MapRange(
-            span.first, span.last, owner, span.is_held, span.awaits_lease_expiry
-        )
-    ordered = tuple(ranges[first] for first in sorted(ranges))
-    return OwnershipMap(changes.service, changes.version, ordered)
+        current = _from_span(span)
+        position = bisect_left(starts, span.first)
+        if position < len(starts) and starts[position] == span.first:
+            ranges[position] = current
+        else:
+            starts.insert(position, span.first)
+            ranges.insert(position, current)
+    return OwnershipMap(changes.service, changes.version, tuple(ranges), tuple(starts))
+
+
+def _differs(previous: MapRange | None, current: MapRange) -> bool:
+    # Unchanged ranges are mostly the same object, and comparing identities is faster.
+    return previous is not current and previous != current
+
+
+def _from_span(span: MapSpan) -> MapRange:
+    owner = UpstreamIncarnation(span.owner, span.started_at_ms)
+    return MapRange(span.first, span.last, owner, span.is_held, span.awaits_lease_expiry)
 
 
 def _to_span(current: MapRange) -> MapSpan:
--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 from typing import Protocol
 
@@ -29,11 +30,13 @@
     OrderAcknowledged,
     UpstreamReplaced,
 )
+from ..keyspace.hot_keys import KeyLimits
 from ..keyspace.lease import apply_result, continue_after_write, next_order, register_order
 from ..keyspace.restarts import fence_restarted_former_owners
 from ..keyspace.service_leases import (
     adopt_record,
     assign_initial_owners,
+    key_limits,
     merge_adjacent_ranges,
     ownership_map,
     rebalance,
@@ -43,6 +46,7 @@
 from ..placement.choice import median_service_time, plausible_service_time
 from ..placement.loads import LoadTracker
 from .leadership import Leadership
+from .messages import KeyCount
 from .store import Expectation, NewRow, StoredRow
 from .store_clock import StoreClock
 
@@ -50,6 +54,8 @@
 
 # Time between two checks for due work.
 TICK_INTERVAL = milliseconds(50)
+# Delay between a change and the work that it causes: the answers of many upstreams arrive together.
+WORK_DELAY = milliseconds(4)
 REBALANCE_INTERVAL = milliseconds(250)
 # Time for the first upstreams to register before the initial owners of keys are assigned.
 FIRST_ASSIGNMENT_DELAY = milliseconds(800)
@@ -138,7 +144,7 @@
         # Time of the next health check of each upstream that left its grants unanswered.
         self._unresponsive: dict[UpstreamIncarnation, timedelta] = {}
         self._health_check_paths: dict[str, str] = {}
-        self._published_ranges: dict[str, tuple[object, ...]] = {}
+        self._published_maps: dict[str, OwnershipMap] = {}
         self._rebalanced_at = timedelta()
         self._has_started = False
         self._is_stopped = False
@@ -220,17 +226,26 @@
         }
         self.schedule_tick()
 
-    def count_key(self, service: str, key: int, requests: int) -> None:
+    def count_key(self, count: KeyCount) -> None:
         """Count requests for a key."""
-        leases = self.services.get(service)
+        leases = self.services.get(count.service)
         if leases is not None:
-            leases.count_requests(key, requests, self._clock.now())
+            now = self._clock.now()
+            leases.count_requests(count.key, count.requests, now, count.priority)
+
+    def key_limits(self) -> dict[str, KeyLimits]:
+        """Return the limits on requests for busy keys, by service."""
+        now = self._clock.now()
+        return {
+            service: key_limits(leases, self._capacities(service, now), now)
+            for service, leases in self.services.items()
+        }
 
     def schedule_tick(self) -> None:
-        """Schedule the due work for the next iteration of the event loop."""
+        """Schedule the due work after `WORK_DELAY`, together for all changes within it."""
         if not self._is_tick_scheduled and not self._is_stopped:
             self._is_tick_scheduled = True
-            self._clock.call_later(timedelta(), self._run_due_work)
+            self._clock.call_later(WORK_DELAY, self._run_due_work)
 
     def rows_to_write(self) -> tuple[list[Expectation], list[NewRow], dict[str, int]]:
         """Return the expectations, rows and change counts by service of the next write."""
@@ -266,8 +281,9 @@
     def _tick(self) -> None:
         if self._is_stopped:
             return
-        self._run_due_work()
+        # Scheduled first, so that an unexpected exception ends this tick only.
         self._clock.call_later(TICK_INTERVAL, self._tick)
+        self._run_due_work()
 
     def _run_due_work(self) -> None:
         self._is_tick_scheduled = False
@@ -400,7 +416,21 @@
     def _rebalance(self, leases: ServiceLeases, now: timedelta) -> None:
         if leases.is_dirty or not leases.leases or not self._leadership.has_authority(now):
             return
-        usable = self._usable_upstreams(leases.service, now)
+        capacities = self._capacities(leases.service, now)
+        if len(capacities) > 1:
+            for move in rebalance(leases, capacities, now):
+                _log.info(
+                    "keys {}-{} of {} go to {} for balance",
+                    move.first,
+                    move.last,
+                    leases.service,
+                    move.new_owner.name,
+                )
+        merge_adjacent_ranges(leases, len(capacities), now)
+
+    def _capacities(self, service: str, now: timedelta) -> dict[UpstreamIncarnation, float]:
+        """Return the requests per second that each reachable upstream of a service can serve."""
+        usable = self._usable_upstreams(service, now)
         median_time = median_service_time(
             self._load_tracker.load_of(u.name) for u in usable.values()
         )
@@ -417,23 +447,16 @@
             if upstream.warmup_remaining:
                 capacity *= WARMUP_CAPACITY_FACTOR
             capacities[incarnation] = capacity * (1.0 - min(0.8, load.declined_share(now)))
-        if len(capacities) > 1:
-            for move in rebalance(leases, capacities, now):
-                _log.info(
-                    "keys {}-{} of {} go to {} for balance",
-                    move.first,
-                    move.last,
-                    leases.service,
-                    move.new_owner.name,
-                )
-        merge_adjacent_ranges(leases, len(usable), now)
+        return capacities
 
     def _publish_map(self, leases: ServiceLeases) -> None:
-        found = ownership_map(leases)
-        if self._published_ranges.get(leases.service) != found.ranges:
+        published = self._published_maps.get(leases.service)
+        current = ownership_map(leases, published)
+        if current is not published:
             leases.map_version += 1
-            self._published_ranges[leases.service] = found.ranges
-            self._on_map(ownership_map(leases))
+            current = replace(current, version=leases.map_version)
+            self._published_maps[leases.service] = current
+            self._on_map(current)
 
     def _send_due_orders(self, leases: ServiceLeases, now: timedelta) -> None:
         if not self._leadership.has_authority(now):
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -1,7 +1,7 @@
 """Membership of this instance: its state, its messages to other members and its leadership."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -10,18 +10,19 @@
 
 from ..clocks import Clock, milliseconds
 from ..fleet import RegistryView, RouteTable, ServiceProperties, Upstream, UpstreamIncarnation
-from ..keyspace import LeaseTiming, MapRange, OwnershipMap, decode_record
+from ..keyspace import KeyLimits, LeaseTiming, MapRange, OwnershipMap, decode_record
 from ..links import ManagedLinks, PeerAddress
 from ..placement.loads import LoadTracker
 from .broadcast import Broadcaster
+from .demand import DemandTracker
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
-from .messages import LeaderUpdate, LoadReport, Totals
+from .messages import LeaderUpdate, LoadReport, ReservedSlots, Totals
 from .reader import KEYS_TABLE, LEADER_KEY, MAX_STATE_AGE, ReadHandlers, Sources, StoreReader
 from .store import RowsRead, RowStore, StoredRow
 from .store_clock import StoreClock
 from .told import ReceivedState
-from .totals import pack_totals
+from .totals import pack_key_limits, pack_totals, unpack_key_limits
 from .writer import LeadershipWriter
 
 __all__ = ["Member", "MemberSetup"]
@@ -29,8 +30,10 @@
 TICK_INTERVAL = milliseconds(100)
 UPDATE_INTERVAL = milliseconds(250)
 REPORT_INTERVAL = milliseconds(250)
-# Changes within this time are sent in one update.
-UPDATE_DELAY = milliseconds(10)
+# Changes within this time are sent in one update: a minimum, and a time for each instance, since an
+# update costs the leader processor time for each of them.
+MIN_UPDATE_DELAY = milliseconds(10)
+UPDATE_DELAY_PER_INSTANCE = milliseconds(0.2)
 # Processor cores needed to lead with many upstreams, and the delay of an attempt to take over for
 # each missing core.
 MIN_LEADER_CORES = 0.8
@@ -89,7 +92,9 @@
     sender : OrderSender
     load_tracker : LoadTracker
     on_change : callable
-        Called when routes, upstreams or owners have changed.
+        Called when routes or upstreams have changed, and possibly owners.
+    on_owners_change : callable
+        Called when only the owners of keys have changed.
     leadership_timing : LeadershipTiming, optional
     lease_timing : LeaseTiming, optional
 
@@ -100,6 +105,10 @@
     ownership_maps : dict of str to OwnershipMap
     instance_count : int
         Number of running instances, as far as is known.
+    reserved_slots : dict of str to ReservedSlots
+        Slots that are reserved for urgent requests, by service.
+    key_limits : mapping of str to KeyLimits
+        Limits on requests for busy keys, by service.
     """
 
     def __init__(
@@ -113,6 +122,7 @@
         sender: OrderSender,
         load_tracker: LoadTracker,
         on_change: Callable[[], None],
+        on_owners_change: Callable[[], None],
         leadership_timing: LeadershipTiming | None = None,
         lease_timing: LeaseTiming | None = None,
     ) -> None:
@@ -123,6 +133,7 @@
         self._sender = sender
         self._load_tracker = load_tracker
         self._on_change = on_change
+        self._on_owners_change = on_owners_change
         self._timing = leadership_timing or LeadershipTiming()
         self._lease_timing = lease_timing or LeaseTiming()
         self._leadership = Leadership(setup.name, self._timing)
@@ -160,6 +171,7 @@
         self._is_update_scheduled = False
         self._report_sent_at = LONG_AGO
         self._reports: dict[str, dict[str, int]] = {}
+        self._demand = DemandTracker()
         self._registry_version = 0
         self._upstream_names: list[str] = []
         self._received_state = ReceivedState()
@@ -169,6 +181,8 @@
         self.registry_view = RegistryView()
         self.ownership_maps: dict[str, OwnershipMap] = {}
         self.instance_count = 1
+        self.reserved_slots: dict[str, ReservedSlots] = {}
+        self.key_limits: Mapping[str, KeyLimits] = {}
         links.add_handler(LoadReport, self._handle_report)
         links.add_handler(LeaderUpdate, self._handle_update)
         links.add_connect_handler(self._on_connected)
@@ -216,6 +230,8 @@
         self._writer.leader = None
 
     def _tick(self) -> None:
+        # Scheduled first, so that an unexpected exception ends this tick only.
+        self._clock.call_later(TICK_INTERVAL, self._tick)
         now = self._clock.now()
         is_leader = self._leader is not None
         self._reader.start_due_reads(
@@ -231,7 +247,6 @@
                 self._send_update(with_totals=True)
             elif self._leader is None and now - self._report_sent_at >= REPORT_INTERVAL:
                 self._send_report(now)
-        self._clock.call_later(TICK_INTERVAL, self._tick)
 
     async def _sleep(self, delay: timedelta) -> None:
         done: Deferred[None] = Deferred()
@@ -371,6 +386,7 @@
         self._links.set_peers([], is_mutual=False)
         self._broadcaster.forget_all()
         self._reports.clear()
+        self._demand = DemandTracker()
         starting = Deferred.fromCoroutine(self._start_leading(leader))
         starting.addErrback(
             lambda f: _log.error("failed to start the leader's work: {}", f.getTraceback())
@@ -395,7 +411,7 @@
 
     def _on_map_changed(self, ownership_map: OwnershipMap) -> None:
         self.ownership_maps[ownership_map.service] = ownership_map
-        self._on_change()
+        self._on_owners_change()
         self._schedule_update()
 
     # Updates and reports.
@@ -407,7 +423,8 @@
     def _schedule_update(self) -> None:
         if self._leader is not None and not self._is_update_scheduled:
             self._is_update_scheduled = True
-            self._clock.call_later(UPDATE_DELAY, self._send_update)
+            delay = max(MIN_UPDATE_DELAY, UPDATE_DELAY_PER_INSTANCE * self.instance_count)
+            self._clock.call_later(delay, self._send_update)
 
     def _send_update(self, *, with_totals: bool = False) -> None:
         self._is_update_scheduled = False
@@ -433,6 +450,8 @@
             registry_changes=None,
             map_changes=(),
             totals=totals,
+            reserved_slots=tuple(self.reserved_slots.values()),
+            key_limits=pack_key_limits(self.key_limits),
         )
         self._broadcaster.send(
             update, self._registry_version, self.registry_view.upstreams, self.ownership_maps
@@ -441,20 +460,46 @@
     def _totals(self, now: timedelta) -> Totals:
         """Count this instance's own report and return the loads over all instances."""
         assert self._leader is not None
-        for count in self._load_tracker.collect_report().keys:
-            self._leader.count_key(count.service, count.key, count.requests)
+        own_report = self._load_tracker.collect_report()
+        for count in own_report.keys:
+            self._leader.count_key(count)
+        self._update_key_limits(self._leader.key_limits())
+        self._demand.count(own_report.demands, now)
+        planned = self._demand.plan(self.registry_view.upstreams.values(), now)
+        for reserved in planned:
+            if self.reserved_slots.get(reserved.service) != reserved:
+                _log.info(
+                    "{} slots of {} are reserved for requests of priority {} and above",
+                    reserved.slots,
+                    reserved.service,
+                    reserved.priority,
+                )
+        self.reserved_slots = {reserved.service: reserved for reserved in planned}
         for disconnected in self._reports.keys() - set(self._links.connected_peers()):
             del self._reports[disconnected]
         others: dict[str, int] = {}
         for report in self._reports.values():
             for name, in_flight in report.items():
                 others[name] = others.get(name, 0) + in_flight
-        for name, load in self._load_tracker.loads.items():
-            load.others_in_flight = others.get(name, 0)
+        self._load_tracker.set_others_in_flight(others)
         return Totals(
             self._registry_version, pack_totals(self._load_tracker, self._upstream_names, now)
         )
 
+    def _update_key_limits(self, limits: Mapping[str, KeyLimits]) -> None:
+        for service, current in limits.items():
+            former = self.key_limits.get(service, KeyLimits())
+            for key, priority in current.shares.keys() - former.shares.keys():
+                _log.info(
+                    "key {} of {} is too busy for its owner: {:.0%} of its requests of priority "
+                    "{} are sent",
+                    key,
+                    service,
+                    current.share(key, priority),
+                    priority,
+                )
+        self.key_limits = limits
+
     def _send_report(self, now: timedelta) -> None:
         leader = self.leader_name
         if leader in self._links.connected_peers():
@@ -472,7 +517,8 @@
                 stats.answered, stats.declined, service_time_s, now
             )
         for count in report.keys:
-            self._leader.count_key(count.service, count.key, count.requests)
+            self._leader.count_key(count)
+        self._demand.count(report.demands, now)
 
     def _handle_update(self, peer: str, update: LeaderUpdate) -> None:
         record = self._leadership.record
@@ -489,6 +535,8 @@
         self._leader_heard_at = now
         self._leadership.observe_renewal(update.row_version, now)
         self.instance_count = update.instance_count
+        self.reserved_slots = {reserved.service: reserved for reserved in update.reserved_slots}
+        self.key_limits = unpack_key_limits(update.key_limits)
         self._reader.registry_as_of = max(self._reader.registry_as_of, now - update.registry_age)
         if update.configuration_version > self._reader.configuration_row_version:
             self._reader.read_announced_configuration()
@@ -509,8 +557,8 @@
             self.registry_view.replace(state.upstreams.values(), now)
             self._on_upstreams_changed()
         elif update.map_changes:
-            self._on_change()
+            self._on_owners_change()
         state.is_in_effect = True
-        totals = state.totals(update)
-        if totals is not None:
-            self._load_tracker.apply_totals(totals, now)
+        find_total = state.totals(update)
+        if find_total is not None:
+            self._load_tracker.apply_totals(find_total, now)
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -6,12 +6,15 @@
 __all__ = [
     "COORDINATION_MESSAGES",
     "KeyCount",
+    "KeyLimit",
     "LeaderUpdate",
     "ListedUpstream",
     "LoadReport",
     "MapChanges",
     "MapSpan",
     "RegistryChanges",
+    "ReservedSlots",
+    "RouteDemand",
     "Totals",
     "UpstreamStats",
 ]
@@ -43,19 +46,45 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyCount:
-    """Number of requests for a key since the last report."""
+    """Number of requests of one priority for a key since the last report."""
 
     service: str
     key: int
+    priority: int
     requests: int
 
 
+@dataclass(frozen=True, slots=True)
+class RouteDemand:
+    """Expected work of the requests of one priority to a service since the last report.
+
+    Requests for owned keys are not included. A `priority` of 0 is the most urgent.
+    """
+
+    service: str
+    priority: int
+    work: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Report of an instance to the leader."""
 
     upstreams: tuple[UpstreamStats, ...]
     keys: tuple[KeyCount, ...]
+    demands: tuple[RouteDemand, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReservedSlots:
+    """Slots of a service that are reserved for urgent requests.
+
+    Requests of `priority` and of more urgent ones may use them.
+    """
+
+    service: str
+    priority: int
+    slots: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +124,16 @@
     removed: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class KeyLimit:
+    """Share of the requests of one priority for a key that the instances send, in thousandths."""
+
+    service: str
+    key: int
+    priority: int
+    share_per_mille: int
+
+
 @dataclass(frozen=True, slots=True)
 class MapSpan:
     """A range of keys and its owner; see `laburnumhatch.keyspace.MapRange`."""
@@ -169,6 +208,8 @@
     registry_changes : RegistryChanges or None
     map_changes : tuple of MapChanges
     totals : Totals or None
+    reserved_slots : tuple of ReservedSlots
+    key_limits : tuple of KeyLimit
     """
 
     leader: str
@@ -183,6 +224,8 @@
     registry_changes: RegistryChanges | None
     map_changes: tuple[MapChanges, ...]
     totals: Totals | None
+    reserved_slots: tuple[ReservedSlots, ...]
+    key_limits: tuple[KeyLimit, ...]
 
 
 FIRST_MESSAGE_TYPE = 400
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -212,6 +212,7 @@
                 sender=self.upstreams,
                 load_tracker=LoadTracker(),
                 on_change=lambda: None,
+                on_owners_change=lambda: None,
             )
             self.members[name].start()
 
--- a/laburnumhatch/coordination/told.py
+++ b/laburnumhatch/coordination/told.py
@@ -1,5 +1,6 @@
 """The state that this instance has received from the leader."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..fleet import Upstream
@@ -31,6 +32,7 @@
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     maps: dict[str, OwnershipMap] = field(default_factory=dict)
     known_registry_version: int = 0
+    _positions: dict[str, int] = field(default_factory=dict)
     is_in_effect: bool = False
 
     def apply(self, update: LeaderUpdate) -> None:
@@ -40,9 +42,13 @@
         if update.registry_changes is not None:
             self.upstreams = apply_registry(self.upstreams, update.registry_changes)
             self.known_registry_version = update.registry_changes.version
+            self._positions = {name: i for i, name in enumerate(sorted(self.upstreams))}
 
-    def totals(self, update: LeaderUpdate) -> list[UpstreamTotals] | None:
-        """Return the loads in an update, or None if they belong to another list of upstreams."""
+    def totals(self, update: LeaderUpdate) -> Callable[[str], UpstreamTotals | None] | None:
+        """Return a function that finds the totals of an upstream in an update.
+
+        Returns None if the totals belong to another list of upstreams.
+        """
         if update.totals is None or update.totals.registry_version != self.known_registry_version:
             return None
-        return unpack_totals(update.totals.packed, sorted(self.upstreams))
+        return unpack_totals(update.totals.packed, self._positions)
--- a/laburnumhatch/gateway/answers.py
+++ b/laburnumhatch/gateway/answers.py
@@ -31,11 +31,14 @@
         was sent.
     reason : str
         Explanation for the logs and for the detail of a refusal.
+    is_connection_lost : bool
+        Whether the connection ended after the request was sent.
     """
 
     kind: OutcomeKind
     is_unreachable: bool = False
     reason: str = ""
+    is_connection_lost: bool = False
 
 
 # Statuses that guarantee that the request has not run.
@@ -68,4 +71,5 @@
     """Return the outcome of an attempt without a complete answer."""
     is_unreachable = failure.kind in (FailureKind.REFUSED, FailureKind.UNREACHABLE)
     kind = OutcomeKind.NOT_RUN if failure.was_not_sent else OutcomeKind.UNKNOWN
-    return AttemptOutcome(kind, is_unreachable, f"{failure.kind.value}: {failure.reason}")
+    reason = f"{failure.kind.value}: {failure.reason}"
+    return AttemptOutcome(kind, is_unreachable, reason, failure.kind is FailureKind.LOST)
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -79,6 +79,7 @@
             sender=PlatformOrderSender(HttpCaller(ConnectionPool(reactor, clock), clock)),
             load_tracker=load_tracker,
             on_change=lambda: self._gateway.refresh(),
+            on_owners_change=lambda: self._gateway.dispatch_waiting(),
             lease_timing=LeaseTiming(max_lease_duration=parse_duration(settings.longest_hold)),
         )
         self._gateway = Gateway(
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -6,8 +6,16 @@
 
 from ..clocks import Cancellable, milliseconds
 from ..fleet import Route, Upstream, UpstreamIncarnation, find_route
-from ..placement import Declined, FailedRequest, decide_admission, may_retry, predict_answer_time
-from ..placement.choice import choose_upstream
+from ..placement import (
+    Declined,
+    Demand,
+    FailedRequest,
+    choose_upstream,
+    decide_admission,
+    may_retry,
+    predict_answer_time,
+)
+from ..placement.choice import plausible_service_time
 from ..platform.headers import (
     ATTEMPT_ID,
     DEADLINE,
@@ -27,6 +35,7 @@
 from .answers import AttemptOutcome, OutcomeKind, classify_failure, classify_response
 from .refusals import refuse
 from .relay import ResponseRelay
+from .request_log import LoggedTarget
 
 if TYPE_CHECKING:
     from .gateway import Gateway
@@ -46,6 +55,9 @@
 # Retry-After for a key whose owner is lost: about half of a lease, after which the next owner holds
 # the key.
 OWNER_LOST_RETRY_AFTER = milliseconds(1200)
+# Retry-After for a key that is requested more often than its owner can serve: the requests of a
+# moment are no guide to when it will be less busy.
+HOT_KEY_RETRY_AFTER = milliseconds(1000)
 NO_CONFIGURATION_RETRY_AFTER = milliseconds(500)
 # Deadline of a request without a deadline header.
 DEFAULT_DEADLINE = timedelta(seconds=10)
@@ -55,6 +67,11 @@
 # Delay between opening a connection and sending a request on it: two round trips between data
 # centres, within which an upstream that accepts no more connections resets it.
 NEW_CONNECTION_SEND_DELAY = milliseconds(6)
+# Number of bytes of an answer's body that are read and discarded, so that its connection can be
+# used again. More of them are not waited for.
+MAX_DISCARDED_BYTES = 65_536
+# Time after the deadline for which a streamed answer may continue.
+MAX_STREAM_OVERRUN = timedelta(seconds=30)
 # Time for which a draining upstream still gets requests for the keys that it holds.
 DRAINING_OWNER_GRACE = milliseconds(700)
 
@@ -93,9 +110,13 @@
         self._call: PooledCall | None = None
         self._upstream: Upstream | None = None
         self._sent_at: timedelta | None = None
-        self._requests_per_slot = 1.0
+        self._demand = Demand()
+        self._relative_time = 1.0
         self._sends_by_upstream: dict[str, int] = {}
         self._send_count = 0
+        # A second copy of an earlier answer to this request can't be told from a later answer by
+        # its identifier, so no connection carries the request twice.
+        self._used_connections: set[OutboundConnection] = set()
         self._may_have_run = False
         self._relay = ResponseRelay(request)
 
@@ -121,7 +142,10 @@
             if self._key is None:
                 self._refuse(ResultCode.KEY_MISSING, None)
                 return
-            gateway.load_tracker.count_key(self._service, self._key)
+        else:
+            work_s = gateway.work_times.slot_time_s(self._service, route.name)
+            gateway.load_tracker.count_demand(self._service, route.priority, work_s)
+        self._demand = gateway.demand(self._service, route)
         gateway.retry_budget(self._service).record_request(gateway.clock.now())
         requested_ms = parse_deadline_ms(find_header(request.fields, DEADLINE))
         allowed = DEFAULT_DEADLINE if requested_ms is None else milliseconds(requested_ms)
@@ -129,8 +153,17 @@
         self._deadline_timer = gateway.clock.call_later(
             self._deadline + UPSTREAM_ANSWER_GRACE - gateway.clock.now(), self._on_deadline
         )
+        if not self._is_key_admitted():
+            self._refuse(ResultCode.QUEUE_FULL, HOT_KEY_RETRY_AFTER, "the key is too busy")
+            return
         self._dispatch()
 
+    def fail(self) -> None:
+        """Answer the caller after an unexpected error, which says nothing about what has run."""
+        if self._state is not _State.FINISHED:
+            self._abandon_call(abort=True)
+            self._refuse(ResultCode.UPSTREAM_BROKEN, None, "unexpected error")
+
     def on_owners_changed(self) -> None:
         """Send a waiting request if its key has an owner now; refuse it if a lease must expire."""
         if self._state is _State.WAITING_FOR_OWNER:
@@ -139,6 +172,15 @@
                 self._stop_waiting()
                 self._dispatch()
 
+    def _is_key_admitted(self) -> bool:
+        """Count an attempt to send the request and return whether its key's limit allows it."""
+        if self._key is None:
+            return True
+        gateway, route = self._gateway, self._route
+        assert route is not None
+        gateway.load_tracker.count_key(self._service, self._key, route.priority)
+        return gateway.admits_key(self._service, self._key, route.priority)
+
     # Choice of the upstream.
 
     def _remaining_s(self) -> float:
@@ -159,8 +201,9 @@
         gateway = self._gateway
         load = gateway.load_tracker.load_of(owner.name)
         median_s = gateway.median_service_time_s(self._service)
-        predicted_s = predict_answer_time(owner, load, median_s)
-        self._admit(owner, predicted_s, load.service_time_s or median_s)
+        predicted_s = predict_answer_time(owner, load, median_s, self._demand)
+        service_time_s = load.service_time_s or median_s
+        self._admit(owner, predicted_s, service_time_s * self._demand.work_ratio)
 
     def _find_owner(self) -> Upstream | UpstreamIncarnation | None:
         """Return the upstream that owns the key.
@@ -224,17 +267,17 @@
             candidates,
             gateway.load_tracker.load_of,
             gateway.data_centre,
-            self._route.is_bulky,
+            self._demand,
             gateway.member.instance_count,
             gateway.clock.now(),
             gateway.random,
+            gateway.median_service_time_s(self._service),
         )
         if choice is None:
             self._refuse(ResultCode.NO_TARGET, NO_OWNER_RETRY_AFTER)
             return
-        self._admit(
-            choice.upstream, choice.predicted_s, gateway.median_service_time_s(self._service)
-        )
+        service_time_s = gateway.median_service_time_s(self._service) * self._demand.work_ratio
+        self._admit(choice.upstream, choice.predicted_s, service_time_s)
 
     def _admit(self, upstream: Upstream, predicted_s: float, service_time_s: float) -> None:
         assert self._route is not None
@@ -259,7 +302,7 @@
         self._relay = ResponseRelay(self._request)
         load = gateway.load_tracker.load_of(upstream.name)
         load.own_in_flight += 1
-        self._requests_per_slot = max(1.0, load.in_flight / upstream.slots)
+        self._relative_time = self._demand.relative_time(upstream, load.in_flight)
         self._sent_at = None
         is_repeatable = self._route.is_repeatable
         max_idle_time = gateway.max_idle_time if is_repeatable else MAX_IDLE_TIME_UNREPEATABLE
@@ -270,6 +313,7 @@
             self,
             max_idle_time,
             NEW_CONNECTION_SEND_DELAY,
+            self._used_connections,
         )
         if self._state is _State.SENT and self._upstream is upstream:
             self._call = call
@@ -292,7 +336,8 @@
         request_id = find_header(request.fields, ATTEMPT_ID)
 
         def matches_response(status: int, response_fields: HeaderFields) -> bool:
-            return request_id is None or find_header(response_fields, ATTEMPT_ID) == request_id
+            # Without an identifier, only a response without one can be the answer.
+            return find_header(response_fields, ATTEMPT_ID) == request_id
 
         return OutboundRequest(
             request.method, request.target, fields, request.body, matches_response
@@ -312,18 +357,23 @@
     def on_body(self, data: bytes) -> None:
         """Handle a part of the answer's body."""
         self._relay.on_body(data, self._connection())
+        if self._relay.discarded_bytes > MAX_DISCARDED_BYTES:
+            outcome = self._relay.outcome
+            assert outcome is not None
+            if self._call is not None:
+                self._call.abort()
+            self._record_attempt(outcome)
+            self._handle_failed_attempt(outcome)
 
     def on_end(self) -> None:
         """Handle the end of a complete answer."""
         outcome = self._relay.outcome
         assert outcome is not None
         self._record_attempt(outcome)
-        if outcome.kind is OutcomeKind.SUCCESS:
+        if outcome.kind is OutcomeKind.SUCCESS or self._relay.is_streaming:
             self._relay.deliver()
             gateway = self._gateway
-            gateway.request_log.log_answer(
-                self._request, self._service, self._upstream, self._send_count
-            )
+            gateway.request_log.log_answer(self._request, self._logged_target(), self._send_count)
             self._finish("answered")
         else:
             self._handle_failed_attempt(outcome)
@@ -345,6 +395,9 @@
     def _record_attempt(self, outcome: AttemptOutcome) -> None:
         gateway, upstream = self._gateway, self._upstream
         assert upstream is not None
+        connection = self._connection()
+        if connection is not None:
+            self._used_connections.add(connection)
         self._call = None
         now = gateway.clock.now()
         load = gateway.load_tracker.load_of(upstream.name)
@@ -354,19 +407,38 @@
             gateway.pool.close_idle((upstream.host, upstream.port))
         elif outcome.kind is OutcomeKind.NOT_RUN and self._relay.status == MISDIRECTED:
             self._suspend_misdirected_range(upstream)
-        elif outcome.kind is OutcomeKind.NOT_RUN:
+        elif outcome.kind is OutcomeKind.NOT_RUN or (
+            outcome.is_connection_lost and self._is_expected_to_wait()
+        ):
+            # A full upstream may reset the connections of the requests that it doesn't accept.
             gateway.load_tracker.record_answer(
                 upstream.name, now, service_time_s=None, declined=True
             )
         elif outcome.kind is OutcomeKind.SUCCESS and self._sent_at is not None:
-            service_time_s = (now - self._sent_at).total_seconds() / self._requests_per_slot
-            gateway.load_tracker.record_answer(
-                upstream.name, now, service_time_s=service_time_s, declined=False
-            )
+            self._record_service_time(upstream, (now - self._sent_at).total_seconds(), now)
         if outcome.kind in (OutcomeKind.UNKNOWN, OutcomeKind.FAILED):
             self._may_have_run = True
         gateway.metrics.attempts[self._service, outcome.kind.value] += 1
 
+    def _is_expected_to_wait(self) -> bool:
+        """Return whether the upstream's slots were all busy when the request was sent."""
+        return self._relative_time > self._demand.work_ratio
+
+    def _record_service_time(
+        self, upstream: Upstream, answer_time_s: float, now: timedelta
+    ) -> None:
+        gateway = self._gateway
+        load = gateway.load_tracker.load_of(upstream.name)
+        assert self._route is not None
+        if not self._is_expected_to_wait():
+            median_s = gateway.median_service_time_s(self._service)
+            slowness = plausible_service_time(load.service_time_s, median_s) / median_s
+            gateway.work_times.record(self._service, self._route.name, answer_time_s / slowness)
+        service_time_s = answer_time_s / self._relative_time
+        gateway.load_tracker.record_answer(
+            upstream.name, now, service_time_s=service_time_s, declined=False
+        )
+
     def _suspend_misdirected_range(self, upstream: Upstream) -> None:
         """Suspend the key range whose owner, according to the map, denies that it holds it."""
         ownership_map = self._gateway.member.ownership_maps.get(self._service)
@@ -387,12 +459,14 @@
             max_upstreams=self._route.max_upstreams,
             send_count=self._send_count,
             remaining_s=self._remaining_s(),
-            service_time_s=gateway.median_service_time_s(self._service),
+            service_time_s=gateway.median_service_time_s(self._service) * self._demand.work_ratio,
         )
-        if may_retry(failed_request, self._has_untried_upstream()) and self._spend_budget(outcome):
-            gateway.request_log.log_retry(
-                self._request, self._service, self._upstream, outcome.reason
-            )
+        if (
+            may_retry(failed_request, self._has_untried_upstream())
+            and self._is_key_admitted()
+            and self._spend_budget(outcome)
+        ):
+            gateway.request_log.log_retry(self._request, self._logged_target(), outcome.reason)
             self._dispatch()
             return
         self._answer_failure(outcome)
@@ -431,7 +505,13 @@
     def _on_deadline(self) -> None:
         """Answer the caller once the deadline and its grace have passed."""
         self._deadline_timer = None
-        if self._relay.is_streaming or self._state is _State.FINISHED:
+        if self._state is _State.FINISHED:
+            return
+        if self._relay.is_streaming:
+            # The caller is receiving the answer, which may take long on a slow link.
+            self._deadline_timer = self._gateway.clock.call_later(
+                MAX_STREAM_OVERRUN, self._on_stream_overrun
+            )
             return
         was_sent = self._state is _State.SENT and self._sent_at is not None
         self._abandon_call(abort=True)
@@ -440,6 +520,17 @@
         else:
             self._refuse(ResultCode.DEADLINE_UNREACHABLE, DECLINED_RETRY_AFTER)
 
+    def _on_stream_overrun(self) -> None:
+        """Break off an answer that doesn't end."""
+        self._deadline_timer = None
+        upstream = self._upstream
+        self._abandon_call(abort=True)
+        self._relay.abort_response()
+        self._upstream = upstream
+        outcome = AttemptOutcome(OutcomeKind.UNKNOWN, reason="the answer doesn't end")
+        self._log_failure("the streamed answer is incomplete", outcome)
+        self._finish("broken off")
+
     def _on_caller_disconnected(self) -> None:
         if self._state is _State.FINISHED:
             return
@@ -472,12 +563,16 @@
         refusal = Refusal(code, detail, retry_after=retry_after)
         if self._request.is_open:
             refuse(self._request, refusal)
-        self._gateway.request_log.log_refusal(self._request, self._service, self._upstream, refusal)
+        self._gateway.request_log.log_refusal(self._request, self._logged_target(), refusal)
         self._finish(str(code.number))
 
+    def _logged_target(self) -> LoggedTarget:
+        route = self._route.name if self._route is not None else ""
+        return LoggedTarget(self._service, route, self._upstream)
+
     def _log_failure(self, summary: str, outcome: AttemptOutcome) -> None:
         self._gateway.request_log.log_failure(
-            self._request, self._service, self._upstream, f"{summary}: {outcome.reason}"
+            self._request, self._logged_target(), f"{summary}: {outcome.reason}"
         )
 
     def _finish(self, result: str) -> None:
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import logbook
+
 from ..clocks import Clock, milliseconds
 from ..coordination.member import Member
-from ..fleet import CallerLimits, TrafficSplitter, Upstream
+from ..fleet import CallerLimits, Route, TrafficSplitter, Upstream
 from ..keyspace import MapRange
-from ..placement import LoadTracker, RetryBudget
+from ..placement import Demand, KeyLimiter, LoadTracker, RetryBudget, WorkTimes, reserved_upstreams
 from ..placement.choice import median_service_time
 from ..transport import CallerRequest, ConnectionPool
 from ..transport.pool import MAX_IDLE_TIME
@@ -18,11 +20,17 @@
 
 __all__ = ["Gateway", "RetryPolicy"]
 
+_log = logbook.Logger("laburnumhatch.gateway")
+
 # Time for which no request is sent to the owner of a key range after that owner has answered that
 # it doesn't hold the range; about the time to renew a lease after a lost renewal.
 RANGE_SUSPENSION = milliseconds(200)
 
 
+# Time for which a computed median of service times is used.
+MEDIAN_LIFETIME = milliseconds(300)
+
+
 @dataclass(frozen=True, slots=True)
 class RetryPolicy:
     """Parameters of the retry budgets, equal at all instances; see `RetryBudget`."""
@@ -60,6 +68,9 @@
         self._exchanges: set[Exchange] = set()
         self._available_upstreams: dict[str, list[Upstream]] = {}
         self._draining_since: dict[str, timedelta] = {}
+        # Instant and value of the last computed median service time in seconds, by service.
+        self._medians: dict[str, tuple[timedelta, float]] = {}
+        self._reserved_names: dict[tuple[str, int], frozenset[str]] = {}
         self._suspended_until: dict[tuple[str, MapRange], timedelta] = {}
         self._idle_callback = lambda: None
         self.clock = clock
@@ -68,6 +79,8 @@
         self.load_tracker = load_tracker
         self.pool = pool
         self.service_splitter = TrafficSplitter()
+        self.work_times = WorkTimes()
+        self.key_limiter = KeyLimiter()
         self.waiting_for_owner: set[Exchange] = set()
         self.metrics = GatewayMetrics()
         self.request_log = RequestLog(clock, self._log_context)
@@ -83,7 +96,11 @@
         """Start to process a caller's request."""
         exchange = Exchange(self, request)
         self._exchanges.add(exchange)
-        exchange.start()
+        try:
+            exchange.start()
+        except Exception:
+            _log.exception("a request could not be processed")
+            exchange.fail()
 
     def limits(self) -> CallerLimits:
         """Return the limits on requests: the defaults until a configuration is known."""
@@ -101,6 +118,8 @@
             else:
                 by_service.setdefault(upstream.service, []).append(upstream)
         self._available_upstreams = by_service
+        self._reserved_names.clear()
+        self._medians.clear()
         self._draining_since = draining
         routes = self.member.routes
         if routes is not None:
@@ -110,6 +129,11 @@
                 for route in host_routes
             }
             self.service_splitter.retain_routes(route_names)
+            self.work_times.retain(route_names)
+        self.dispatch_waiting()
+
+    def dispatch_waiting(self) -> None:
+        """Send the waiting requests whose keys have an owner now."""
         for exchange in list(self.waiting_for_owner):
             exchange.on_owners_changed()
 
@@ -117,6 +141,26 @@
         """Return the upstreams of a service that accept new requests."""
         return self._available_upstreams.get(service, [])
 
+    def demand(self, service: str, route: Route) -> Demand:
+        """Return what a request of a route asks of the service's upstreams."""
+        ratio = self.work_times.ratio(service, route.name)
+        reserved = self.member.reserved_slots.get(service)
+        if reserved is None:
+            return Demand(ratio, route.is_bulky)
+        names = self._reserved_names.get((service, reserved.slots))
+        if names is None:
+            names = reserved_upstreams(self.available_upstreams(service), reserved.slots)
+            self._reserved_names[service, reserved.slots] = names
+        is_urgent = route.priority <= reserved.priority
+        longest_ratio = self.work_times.longest_ratio(service)
+        return Demand(ratio, route.is_bulky, names, is_urgent, longest_ratio)
+
+    def admits_key(self, service: str, key: int, priority: int) -> bool:
+        """Return whether a request for a key is within the limit for the key."""
+        limits = self.member.key_limits.get(service)
+        share = limits.share(key, priority) if limits is not None else 1.0
+        return self.key_limiter.admits(service, key, priority, share)
+
     def draining_duration(self, upstream: Upstream) -> timedelta:
         """Return the time since an upstream was first seen draining; zero if it isn't draining."""
         since = self._draining_since.get(upstream.name)
@@ -142,14 +186,20 @@
             for service_and_range, until in self._suspended_until.items()
             if until > now
         }
-        for exchange in list(self.waiting_for_owner):
-            exchange.on_owners_changed()
+        self.dispatch_waiting()
 
     def median_service_time_s(self, service: str) -> float:
-        """Return the median service time of a service's upstreams, in seconds."""
-        return median_service_time(
-            self.load_tracker.load_of(u.name) for u in self.available_upstreams(service)
-        )
+        """Return the median service time of a service's upstreams, in seconds.
+
+        The median changes slowly, so it is computed at most once in `MEDIAN_LIFETIME`.
+        """
+        now = self.clock.now()
+        computed_at, median_s = self._medians.get(service, (timedelta(days=-1), 0.0))
+        if now - computed_at > MEDIAN_LIFETIME:
+            upstreams = self.available_upstreams(service)
+            median_s = median_service_time(self.load_tracker.load_of(u.name) for u in upstreams)
+            self._medians[service] = now, median_s
+        return median_s
 
     def _log_context(self) -> dict[str, object]:
         """Return versions and ages of the data behind the decisions, for log lines."""
--- a/laburnumhatch/gateway/request_log.py
+++ b/laburnumhatch/gateway/request_log.py
@@ -12,7 +12,7 @@
 from ..results import Refusal
 from ..transport import CallerRequest
 
-__all__ = ["RequestLog"]
+__all__ = ["LoggedTarget", "RequestLog"]
 
 # Rate and burst of log lines. They are limited because a line takes processor time from requests.
 # Lines about answered requests have a separate limit, so that they don't displace others.
@@ -44,6 +44,15 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class LoggedTarget:
+    """Where a request goes, as far as that was decided; names are empty before."""
+
+    service: str
+    route: str
+    upstream: Upstream | None
+
+
 class RequestLog:
     """Rate-limited log of requests, with separate limits for answered and for other requests.
 
@@ -72,45 +81,35 @@
         self.dropped_count = 0
         self.dropped_answered_count = 0
 
-    def log_answer(
-        self, request: CallerRequest, service: str, upstream: Upstream | None, send_count: int
-    ) -> None:
+    def log_answer(self, request: CallerRequest, target: LoggedTarget, send_count: int) -> None:
         """Log that a request was answered after `send_count` attempts."""
         if self._answered_bucket.take(self._clock.now()):
-            self._write(request, service, upstream, "answered", sends=send_count)
+            self._write(request, target, "answered", sends=send_count)
         else:
             self.dropped_answered_count += 1
 
-    def log_refusal(
-        self, request: CallerRequest, service: str, upstream: Upstream | None, refusal: Refusal
-    ) -> None:
+    def log_refusal(self, request: CallerRequest, target: LoggedTarget, refusal: Refusal) -> None:
         """Log that a request was refused."""
         self._write_if_allowed(
             request,
-            service,
-            upstream,
+            target,
             f"refused: {refusal.code.title}; {refusal.detail}",
             code=refusal.code.number,
             run=refusal.run_status.value,
         )
 
-    def log_retry(
-        self, request: CallerRequest, service: str, upstream: Upstream | None, reason: str
-    ) -> None:
+    def log_retry(self, request: CallerRequest, target: LoggedTarget, reason: str) -> None:
         """Log that a request is retried."""
-        self._write_if_allowed(request, service, upstream, f"retrying: {reason}")
+        self._write_if_allowed(request, target, f"retrying: {reason}")
 
-    def log_failure(
-        self, request: CallerRequest, service: str, upstream: Upstream | None, reason: str
-    ) -> None:
+    def log_failure(self, request: CallerRequest, target: LoggedTarget, reason: str) -> None:
         """Log that a request failed at its upstream."""
-        self._write_if_allowed(request, service, upstream, reason)
+        self._write_if_allowed(request, target, reason)
 
     def _write_if_allowed(
         self,
         request: CallerRequest,
-        service: str,
-        upstream: Upstream | None,
+        target: LoggedTarget,
         message: str,
         **fields: object,
     ) -> None:
@@ -120,13 +119,12 @@
         if self.dropped_count:
             fields["lines_left_out"] = self.dropped_count
             self.dropped_count = 0
-        self._write(request, service, upstream, message, **fields)
+        self._write(request, target, message, **fields)
 
     def _write(
         self,
         request: CallerRequest,
-        service: str,
-        upstream: Upstream | None,
+        target: LoggedTarget,
         message: str,
         **fields: object,
     ) -> None:
@@ -134,7 +132,8 @@
         request_id = find_header(request.fields, ATTEMPT_ID) or b""
         extra: dict[str, object] = {
             "request": request_id.decode("latin-1"),
-            "service": service,
+            "service": target.service,
+            "route": target.route,
             "after_ms": round((now - request.received_at).total_seconds() * 1000, 1),
             **fields,
             **self._log_context(),
@@ -142,6 +141,6 @@
         key = find_header(request.fields, KEY)
         if key is not None:
             extra["key"] = key.decode("latin-1")
-        if upstream is not None:
-            extra["upstream"] = upstream.name
+        if target.upstream is not None:
+            extra["upstream"] = target.upstream.name
         _log.info("{}", message, extra=extra)
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -28,9 +28,13 @@
 class FakeRequest:
     """Caller's request that records its answer."""
 
-    def __init__(self, clock, method=b"GET", path=b"/safe/x", fields=(), body=b""):
+    def __init__(
+        self, clock, method=b"GET", path=b"/safe/x", fields=(), body=b"", has_identifier=True
+    ):
         self.method, self.target, self.body = method, path, body
-        self.fields = [(b"host", b"h.example"), (ATTEMPT_ID, b"a1"), (DEADLINE, b"2000"), *fields]
+        self.fields = [(b"host", b"h.example"), (DEADLINE, b"2000"), *fields]
+        if has_identifier:
+            self.fields.append((ATTEMPT_ID, b"a1"))
         self.received_at = clock.now()
         self.on_disconnect = lambda: None
         self.status = None
@@ -66,7 +70,7 @@
         pass
 
 
-@dataclass
+@dataclass(eq=False)
 class FakeCall:
     """Request sent to an upstream, which a test answers or fails."""
 
@@ -122,7 +126,8 @@
     connects_at_once: bool = True
     opened_count: int = 0
 
-    def send(self, host, port, request, receiver, max_idle_time=None, send_delay=None):
+    def send(self, host, port, request, receiver, max_idle_time=None, send_delay=None, excluded=()):
+        self.excluded = set(excluded)
         sent_request = request() if self.connects_at_once else None
         call = FakeCall((host, port), sent_request, receiver)
         call.connection = call if self.connects_at_once else None
@@ -191,6 +196,8 @@
             registry_view=self.registry_view,
             ownership_maps={},
             instance_count=1,
+            reserved_slots={},
+            key_limits={},
             is_leader=False,
             leader_name="a/1",
             ages=lambda: {"registry": 0.1, "configuration": 0.2},
--- a/laburnumhatch/gateway/tests/test_exchange.py
+++ b/laburnumhatch/gateway/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ...clocks import milliseconds
+from ...keyspace import KeyLimits
 from ...platform.headers import DEADLINE, EXPECTED_UPSTREAM, NOT_RUN, SEAL, find_header
 from .conftest import make_upstream
 
@@ -241,3 +242,41 @@
     while request.status is None:
         harness.pool.last.refuse_connection()
     assert float(dict(request.answer_fields)[b"retry-after"]) >= 0.9
+
+
+def test_request_for_a_limited_key_is_refused_immediately(harness):
+    harness.set_owner("u3")
+    harness.member.key_limits["keyed"] = KeyLimits({(7, 1): 0.0})
+    request = harness.send_request(path=b"/keyed/x")
+    assert request.status == 503 and harness.pool.calls == []
+
+
+def test_retry_for_a_limited_key_is_subject_to_the_limit(harness):
+    harness.set_owner("u3")
+    request = harness.send_request(path=b"/keyed/x")
+    harness.member.key_limits["keyed"] = KeyLimits({(7, 1): 0.0})
+    harness.pool.last.lose_connection()
+    assert len(harness.pool.calls) == 1 and request.status == 502
+
+
+def test_each_attempt_for_a_key_is_counted(harness):
+    harness.set_owner("u3")
+    harness.send_request(path=b"/keyed/x")
+    harness.pool.last.lose_connection()
+    assert harness.gateway.load_tracker.key_counts == {("keyed", 7, 1): 2}
+
+
+def test_connection_lost_by_a_full_upstream_counts_as_declined(harness):
+    load = harness.gateway.load_tracker.load_of("u1")
+    harness.gateway.load_tracker.load_of("u2").own_in_flight = 90
+    load.own_in_flight = 2
+    harness.send_request()
+    harness.pool.last.lose_connection()
+    assert load.decline_count == 1.0
+
+
+def test_connection_lost_by_an_idle_upstream_does_not_count_as_declined(harness):
+    harness.send_request()
+    harness.pool.last.lose_connection()
+    loads = harness.gateway.load_tracker.loads.values()
+    assert all(load.decline_count == 0.0 for load in loads)
--- a/laburnumhatch/gateway/tests/test_imports.py
+++ b/laburnumhatch/gateway/tests/test_imports.py
@@ -19,6 +19,8 @@
     "treq",
     "twisted.web",
 }
+# Modules that are small, but slow to import.
+SLOW_MODULES = {"twisted.internet.endpoints"}
 
 
 def test_daemon_imports_no_large_module():
@@ -29,7 +31,7 @@
     found = subprocess.run(
         [sys.executable, "-c", script], capture_output=True, check=True, text=True
     )
-    assert LARGE_MODULES.isdisjoint(json.loads(found.stdout))
+    assert (LARGE_MODULES | SLOW_MODULES).isdisjoint(json.loads(found.stdout))
 
 
 def read_pins(path):
--- a/laburnumhatch/keyspace/__init__.py
+++ b/laburnumhatch/keyspace/__init__.py
@@ -11,6 +11,7 @@
     ReleaseOrder,
     UpstreamReplaced,
 )
+from .hot_keys import KeyLimits
 from .lease import LeaseTiming, Phase, RangeLease
 from .ownership_map import MapRange, OwnershipMap
 from .row import ServiceRecord, decode_record, encode_record, record_of
@@ -21,6 +22,7 @@
     "ConnectionRefused",
     "GrantOrder",
     "GrantRefused",
+    "KeyLimits",
     "KeyMove",
     "LeaseTiming",
     "MapRange",
--- a/laburnumhatch/keyspace/balance.py
+++ b/laburnumhatch/keyspace/balance.py
@@ -8,6 +8,7 @@
 from bisect import bisect_left, bisect_right
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
 
 from ..fleet import UpstreamIncarnation
 
@@ -88,27 +89,29 @@
         if span.owner in owned and span.is_movable:
             owned[span.owner].append(span)
     moves: list[KeyMove] = []
-    unrelievable: set[UpstreamIncarnation] = set()
+    if len(loads) < 2:
+        return moves
+    # Moves don't change the total load.
+    mean = sum(loads.values()) / sum(capacities.values())
+    utilisations = {i: loads[i] / capacities[i] for i in loads}
+    by_high = [(-utilisation, i) for i, utilisation in utilisations.items()]
+    by_low = [(utilisation, i) for i, utilisation in utilisations.items()]
+    heapify(by_high)
+    heapify(by_low)
     while len(moves) < max_moves:
-        candidates = [incarnation for incarnation in loads if incarnation not in unrelievable]
-        if not candidates or len(loads) < 2:
+        _drop_outdated(by_high, utilisations, -1.0)
+        _drop_outdated(by_low, utilisations, 1.0)
+        if not by_high:
             break
-        busiest = max(
-            candidates, key=lambda incarnation: loads[incarnation] / capacities[incarnation]
-        )
-        least_busy = min(
-            loads, key=lambda incarnation: loads[incarnation] / capacities[incarnation]
-        )
-        high = loads[busiest] / capacities[busiest]
-        low = loads[least_busy] / capacities[least_busy]
+        busiest, least_busy = by_high[0][1], by_low[0][1]
+        high, low = utilisations[busiest], utilisations[least_busy]
         if high - low < MIN_UTILISATION_GAP or high < MIN_RELIEVED_UTILISATION:
             break
-        mean = sum(loads.values()) / sum(capacities.values())
         excess = loads[busiest] - capacities[busiest] * (
             low if low < IDLE_UTILISATION_SHARE * mean else mean
         )
         if not _is_significant(excess, loads[busiest], window_s):
-            unrelievable.add(busiest)
+            heappop(by_high)
             continue
         # The smaller of the surplus of one and the deficit of the other, so that the move takes
         # neither upstream past the mean.
@@ -118,12 +121,16 @@
         )
         best_range = _best_range(owned[busiest], keys, rates, target_rate)
         if best_range is None:
-            unrelievable.add(busiest)
+            heappop(by_high)
             continue
         first, last, rate, span = best_range
         moves.append(KeyMove(first, last, least_busy))
         loads[busiest] -= rate
         loads[least_busy] += rate
+        for changed in (busiest, least_busy):
+            utilisations[changed] = loads[changed] / capacities[changed]
+            heappush(by_high, (-utilisations[changed], changed))
+            heappush(by_low, (utilisations[changed], changed))
         owned[busiest].remove(span)
         if span.first < first:
             owned[busiest].append(OwnedSpan(span.first, first - 1, busiest, True))
@@ -132,6 +139,16 @@
     return moves
 
 
+def _drop_outdated(
+    heap: list[tuple[float, UpstreamIncarnation]],
+    utilisations: Mapping[UpstreamIncarnation, float],
+    sign: float,
+) -> None:
+    """Remove entries at the top of a heap whose utilisation has changed since."""
+    while heap and heap[0][0] != sign * utilisations[heap[0][1]]:
+        heappop(heap)
+
+
 def _is_significant(excess: float, rate: float, window_s: float) -> bool:
     """Return whether the excess of a rate is statistically significant."""
     return excess * window_s > SIGNIFICANCE_DEVIATIONS * math.sqrt(rate * window_s)
--- a/laburnumhatch/keyspace/key_rates.py
+++ b/laburnumhatch/keyspace/key_rates.py
@@ -1,6 +1,7 @@
 """Recent request rates of keys."""
 
 from datetime import timedelta
+from typing import Generic, TypeVar
 
 __all__ = ["KeyRates"]
 
@@ -11,7 +12,10 @@
 MIN_WINDOW_S = 0.2
 
 
-class KeyRates:
+Key = TypeVar("Key")
+
+
+class KeyRates(Generic[Key]):
     """Exponentially decayed request counts of keys.
 
     Parameters
@@ -20,7 +24,7 @@
 
     Attributes
     ----------
-    counts : dict of int to float
+    counts : dict of Key to float
         Decayed number of requests by key.
     """
 
@@ -28,9 +32,9 @@
         self._half_life = half_life
         self._decayed_at = timedelta()
         self._started_at: timedelta | None = None
-        self.counts: dict[int, float] = {}
+        self.counts: dict[Key, float] = {}
 
-    def count_requests(self, key: int, requests: int, now: timedelta) -> None:
+    def count_requests(self, key: Key, requests: float, now: timedelta) -> None:
         """Count requests for a key."""
         if self._started_at is None:
             self._started_at = now
@@ -46,7 +50,7 @@
         filled_share = 1.0 - 0.5 ** min((now - self._started_at) / self._half_life, 60.0)
         return max(full_window_s * filled_share, MIN_WINDOW_S)
 
-    def rates(self, now: timedelta) -> dict[int, float]:
+    def rates(self, now: timedelta) -> dict[Key, float]:
         """Return the requests per second by key."""
         self._decay(now)
         window_s = self.window_s(now)
--- a/laburnumhatch/keyspace/ownership_map.py
+++ b/laburnumhatch/keyspace/ownership_map.py
@@ -54,7 +54,8 @@
     _starts: tuple[int, ...] = field(default=(), compare=False, repr=False)
 
     def __post_init__(self) -> None:
-        object.__setattr__(self, "_starts", tuple(r.first for r in self.ranges))
+        if len(self._starts) != len(self.ranges):
+            object.__setattr__(self, "_starts", tuple(r.first for r in self.ranges))
 
     def find(self, key: int) -> MapRange | None:
         """Return the range that contains a key, or None if the key has no owner."""
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -1,12 +1,13 @@
 """The leases on all keys of one service, as managed by the leader."""
 
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from ..clocks import milliseconds
 from ..fleet import Upstream, UpstreamIncarnation
 from .balance import KeyMove, OwnedSpan, plan_moves
+from .hot_keys import KeyLimits, clip_hot_rates, plan_hot_key_moves, plan_key_limits
 from .key_rates import KeyRates
 from .lease import (
     FENCING_LEASE_DURATION,
@@ -28,8 +29,10 @@
     "assign_initial_owners",
     "split_key_space",
     "is_stable",
+    "key_limits",
     "merge_adjacent_ranges",
     "move_keys",
+    "owned_spans",
     "ownership_map",
     "rebalance",
     "Replacement",
@@ -42,6 +45,9 @@
 # seconds; the long one reveals smaller differences that persist.
 SHORT_TERM_HALF_LIFE = milliseconds(500)
 LONG_TERM_HALF_LIFE = milliseconds(2500)
+# Half-life of the request counts by key and priority, from which limits are planned: an owner is
+# full within a few hundred milliseconds after one of its keys has become busy.
+LIMIT_HALF_LIFE = milliseconds(250)
 # Number of ranges above which no range is split, so that the record of a service fits into one row
 # of the store.
 MAX_RANGES = 1000
@@ -49,6 +55,9 @@
 PIECES_PER_LEAVING_RANGE = 4
 # Minimum time between two moves of the same range.
 MOVE_COOLDOWN = milliseconds(900)
+# Minimum time between two moves of a key that fills its owner: the owner looks slow as long as the
+# key fills it, and each move interrupts the service of the key.
+HOT_KEY_COOLDOWN = milliseconds(6000)
 # Limit of the moves that begin in one round of balancing: one move for every `UPSTREAMS_PER_MOVE`
 # upstreams, but not less than `MIN_CONCURRENT_MOVES`.
 MIN_CONCURRENT_MOVES = 5
@@ -81,6 +90,8 @@
         Version of the ownership map that was last sent to the other instances.
     short_term_rates, long_term_rates : KeyRates
         Request rates of the keys, decayed with a short and with a long half-life.
+    priority_rates : KeyRates
+        Request rates by key and priority, decayed with `LIMIT_HALF_LIFE`.
     first_upstream_seen_at : timedelta or None
         When the first usable upstream was seen.
     """
@@ -92,8 +103,11 @@
     change_count: int = 0
     written_count: int = 0
     map_version: int = 0
-    short_term_rates: KeyRates = field(default_factory=lambda: KeyRates(SHORT_TERM_HALF_LIFE))
-    long_term_rates: KeyRates = field(default_factory=lambda: KeyRates(LONG_TERM_HALF_LIFE))
+    short_term_rates: KeyRates[int] = field(default_factory=lambda: KeyRates(SHORT_TERM_HALF_LIFE))
+    long_term_rates: KeyRates[int] = field(default_factory=lambda: KeyRates(LONG_TERM_HALF_LIFE))
+    priority_rates: KeyRates[tuple[int, int]] = field(
+        default_factory=lambda: KeyRates(LIMIT_HALF_LIFE)
+    )
     first_upstream_seen_at: timedelta | None = None
 
     @property
@@ -107,8 +121,9 @@
         self.change_count += 1
         return self.last_token
 
-    def count_requests(self, key: int, requests: int, now: timedelta) -> None:
-        """Count requests for a key."""
+    def count_requests(self, key: int, requests: int, now: timedelta, priority: int = 0) -> None:
+        """Count requests of a priority for a key."""
+        self.priority_rates.count_requests((key, priority), requests, now)
         self.short_term_rates.count_requests(key, requests, now)
         self.long_term_rates.count_requests(key, requests, now)
 
@@ -309,21 +324,57 @@
     """Move busy keys from busy upstreams to idle ones and return the moves."""
     if len(leases.leases) >= MAX_RANGES:
         return []
-    spans = [
-        OwnedSpan(lease.first, lease.last, lease.owner, is_stable(lease, now))
-        for lease in leases.leases
-    ]
-    moves: list[KeyMove] = []
+    spans = owned_spans(leases, now)
+    recent = leases.short_term_rates
+    moves = plan_hot_key_moves(
+        _without_recent_hot_moves(leases, spans, now),
+        recent.rates(now),
+        capacities,
+        recent.window_s(now),
+    )
     max_moves = max(MIN_CONCURRENT_MOVES, len(capacities) // UPSTREAMS_PER_MOVE)
     for rates in (leases.short_term_rates, leases.long_term_rates):
         if not moves:
             window_s = rates.window_s(now)
-            moves = plan_moves(spans, rates.rates(now), capacities, window_s, max_moves)
+            kept_spans, clipped = clip_hot_rates(spans, rates.rates(now), capacities)
+            moves = plan_moves(kept_spans, clipped, capacities, window_s, max_moves)
     for move in moves:
         move_keys(leases, move, now)
     return moves
 
 
+def _without_recent_hot_moves(
+    leases: ServiceLeases, spans: list[OwnedSpan], now: timedelta
+) -> list[OwnedSpan]:
+    """Return the spans, of which single keys are movable only after `HOT_KEY_COOLDOWN`."""
+    return [
+        (
+            replace(span, is_movable=False)
+            if span.first == span.last and now - lease.moved_at <= HOT_KEY_COOLDOWN
+            else span
+        )
+        for span, lease in zip(spans, leases.leases, strict=True)
+    ]
+
+
+def key_limits(
+    leases: ServiceLeases, capacities: Mapping[UpstreamIncarnation, float], now: timedelta
+) -> KeyLimits:
+    """Return the limits on requests for keys that are too busy for their owners."""
+    rates = leases.priority_rates
+    return plan_key_limits(
+        owned_spans(leases, now), rates.rates(now), capacities, rates.window_s(now)
+    )
+
+
+def owned_spans(leases: ServiceLeases, now: timedelta) -> list[OwnedSpan]:
+    """Return the ranges with their owners, ordered by key."""
+    return [
+        OwnedSpan(lease.first, lease.last, lease.owner, is_stable(lease, now))
+        for lease in leases.leases
+    ]
+
+
 def move_keys(leases: ServiceLeases, move: KeyMove, now: timedelta) -> None:
     """Move keys that lie within one stable range to another owner."""
     lease = _isolate_range(leases, move.first, move.last)
@@ -367,17 +418,32 @@
     )
 
 
-def ownership_map(leases: ServiceLeases) -> OwnershipMap:
-    """Return the ownership map that is sent to the other instances."""
-    ranges = tuple(
-        MapRange(
-            lease.first, lease.last, lease.owner, lease.is_confirmed, lease.awaits_lease_expiry
-        )
-        for lease in leases.leases
-    )
+def ownership_map(leases: ServiceLeases, previous: OwnershipMap | None = None) -> OwnershipMap:
+    """Return the ownership map that is sent to the other instances.
+
+    Ranges that are as in `previous` are the same objects, and if all are, so is the map.
+    """
+    known = {r.first: r for r in previous.ranges} if previous is not None else {}
+    ranges = tuple(_map_range(lease, known.get(lease.first)) for lease in leases.leases)
+    # Comparing tuples compares the identities of their items first.
+    if previous is not None and ranges == previous.ranges:
+        return previous
     return OwnershipMap(leases.service, leases.map_version, ranges)
 
 
+def _map_range(lease: RangeLease, known: MapRange | None) -> MapRange:
+    awaits_lease_expiry = lease.awaits_lease_expiry
+    if (
+        known is not None
+        and known.last == lease.last
+        and known.owner == lease.owner
+        and known.is_held == lease.is_confirmed
+        and known.awaits_lease_expiry == awaits_lease_expiry
+    ):
+        return known
+    return MapRange(lease.first, lease.last, lease.owner, lease.is_confirmed, awaits_lease_expiry)
+
+
 def _isolate_range(leases: ServiceLeases, first: int, last: int) -> RangeLease:
     """Return a lease on exactly these keys, split off the lease that contains them."""
     lease = next(x for x in leases.leases if x.first <= first and last <= x.last)
--- a/laburnumhatch/links/codec.py
+++ b/laburnumhatch/links/codec.py
@@ -66,6 +66,9 @@
         self._types: dict[int, type] = {}
         self._encoders: dict[type, Converter] = {}
         self._decoders: dict[int, Converter] = {}
+        # The last message and its body: a message to all instances is encoded once.
+        self._last_message: object = None
+        self._last_body = b""
         for first_number, message_types in families:
             for number, message_type in enumerate(message_types, first_number):
                 self._register(number, message_type)
@@ -82,10 +85,13 @@
         TypeError
             If the type of the message isn't registered.
         """
+        if message is self._last_message:
+            return self._last_body
         number = self._numbers.get(type(message))
         if number is None:
             raise TypeError(f"{type(message).__name__} is not registered with the codec")
         body: bytes = msgpack.packb([number, *self._encoders[type(message)](message)])
+        self._last_message, self._last_body = message, body
         return body
 
     def decode(self, body: bytes) -> Any:
--- a/laburnumhatch/links/peer_links.py
+++ b/laburnumhatch/links/peer_links.py
@@ -6,8 +6,7 @@
 
 import logbook
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.protocol import Factory
+from twisted.internet.protocol import ClientFactory, Factory
 
 from ..clocks import Clock, milliseconds
 from .codec import Codec
@@ -27,6 +26,26 @@
 Connect = Callable[[PeerAddress, PeerStream], "Deferred[Any]"]
 
 
+class _StreamFactory(ClientFactory):
+    """Factory of one dialled stream.
+
+    `twisted.internet.endpoints` would do the same, but is slow to import.
+    """
+
+    noisy = False
+
+    def __init__(self, stream: PeerStream) -> None:
+        self._stream = stream
+        self.attempt: Deferred[Any] = Deferred()
+
+    def buildProtocol(self, addr: Any) -> PeerStream:
+        self.attempt.callback(None)
+        return self._stream
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.attempt.errback(reason)
+
+
 class PeerLinks:
     """Links that keep at most one stream to each of the other entry instances.
 
@@ -198,10 +217,11 @@
         attempt.addErrback(lambda failure: self._attempt_failed(address.name))
 
     def _connect_by_tcp(self, address: PeerAddress, stream: PeerStream) -> "Deferred[Any]":
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, address.host, address.port, CONNECT_TIMEOUT.total_seconds()
+        factory = _StreamFactory(stream)
+        self._reactor.connectTCP(
+            address.host, address.port, factory, timeout=CONNECT_TIMEOUT.total_seconds()
         )
-        return connectProtocol(endpoint, stream)
+        return factory.attempt
 
     def _attempt_failed(self, name: str) -> None:
         dialer = self._dialers.get(name)
--- a/laburnumhatch/placement/__init__.py
+++ b/laburnumhatch/placement/__init__.py
@@ -1,20 +1,29 @@
 """Placement of requests: admission control, choice of the upstream, and retries."""
 
 from .admission import Admitted, Declined, decide_admission
-from .choice import Choice, choose_upstream, predict_answer_time
+from .choice import Choice, Demand, choose_upstream, predict_answer_time
+from .key_limiter import KeyLimiter
 from .loads import LoadTracker, UpstreamLoad
+from .reservation import Reservation, plan_reservation, reserved_upstreams
 from .retries import FailedRequest, RetryBudget, may_retry
+from .work_times import WorkTimes
 
 __all__ = [
     "Admitted",
     "Choice",
     "Declined",
+    "Demand",
     "FailedRequest",
+    "KeyLimiter",
     "LoadTracker",
+    "Reservation",
     "RetryBudget",
     "UpstreamLoad",
+    "WorkTimes",
     "choose_upstream",
     "decide_admission",
     "may_retry",
+    "plan_reservation",
     "predict_answer_time",
+    "reserved_upstreams",
 ]
--- a/laburnumhatch/placement/choice.py
+++ b/laburnumhatch/placement/choice.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Set
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -14,6 +14,7 @@
 
 __all__ = [
     "Choice",
+    "Demand",
     "choose_upstream",
     "plausible_service_time",
     "predict_answer_time",
@@ -28,6 +29,9 @@
 # Number of candidates that all instances together compare, and the minimum for one instance.
 TOTAL_SAMPLE_SIZE = 40
 MIN_SAMPLE_SIZE = 3
+# Number of upstreams that are drawn for each candidate of the sample, so that some are reachable
+# and in the own data centre.
+DRAWN_PER_CANDIDATE = 6
 # Range of the random factor that keeps instances with equal data from choosing the same upstream.
 JITTER = 0.15
 # Factor on the service time of an upstream that reports that it is still warming up.
@@ -47,24 +51,70 @@
     predicted_s: float
 
 
-def predict_answer_time(upstream: Upstream, load: UpstreamLoad, median_s: float) -> float:
-    """Return the predicted time to the answer of a request that is sent now, in seconds.
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks of an upstream.
 
-    Notes
-    -----
-    Requests beyond the number of slots wait, so the service time is multiplied by the number of
-    requests for each slot.
+    Attributes
+    ----------
+    work_ratio : float
+        Expected work relative to the mean request of the service.
+    is_bulky : bool
+        Whether the answer is large.
+    reserved : set of str
+        Names of the upstreams that are reserved for the service's urgent requests.
+    is_urgent : bool
+        Whether the request may use the reserved upstreams.
+    longest_work_ratio : float
+        Largest `work_ratio` among the routes of the service.
     """
+
+    work_ratio: float = 1.0
+    is_bulky: bool = False
+    reserved: Set[str] = frozenset()
+    is_urgent: bool = True
+    longest_work_ratio: float = 1.0
+
+    def queued_work_ratio(self, upstream: Upstream) -> float:
+        """Return the expected `work_ratio` of the requests that an upstream queues."""
+        if not self.reserved:
+            return 1.0
+        is_shared = upstream.name not in self.reserved
+        return self.longest_work_ratio if is_shared and self.is_urgent else self.work_ratio
+
+    def relative_time(self, upstream: Upstream, in_flight: int) -> float:
+        """Return the time to the answer as a multiple of the upstream's service time.
+
+        Requests beyond the number of slots wait for others to end.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        in_flight : int
+            Requests in flight to the upstream, including this one.
+        """
+        waiting_per_slot = max(0.0, in_flight / upstream.slots - 1.0)
+        return waiting_per_slot * self.queued_work_ratio(upstream) + self.work_ratio
+
+
+# A request of average work to a service without reservations.
+AVERAGE_DEMAND = Demand()
+
+
+def predict_answer_time(
+    upstream: Upstream, load: UpstreamLoad, median_s: float, demand: Demand = AVERAGE_DEMAND
+) -> float:
+    """Return the predicted time to the answer of a request that is sent now, in seconds."""
     service_time_s = plausible_service_time(load.service_time_s, median_s)
     if upstream.warmup_remaining:
         service_time_s = max(service_time_s, median_s * WARMUP_FACTOR)
-    requests_per_slot = max(1.0, (load.in_flight + 1) / upstream.slots)
-    return service_time_s * requests_per_slot
+    return service_time_s * demand.relative_time(upstream, load.in_flight + 1)
 
 
 def _sample_candidates(
     candidates: Collection[Upstream],
     load_of: Callable[[str], UpstreamLoad],
+    demand: Demand,
     data_centre: str,
     instance_count: int,
     now: timedelta,
@@ -72,16 +122,31 @@
 ) -> list[Upstream]:
     """Return a random sample of the reachable upstreams.
 
-    Half of the sample is from the own data centre if it has enough. All candidates are returned if
-    none is reachable.
+    Half of the sample is from the own data centre if it has enough. An urgent request gets a
+    second sample, of the reserved upstreams; another request gets none of these unless no other
+    upstream is reachable. All candidates are returned if none is reachable.
     """
-    reachable = [u for u in candidates if now >= load_of(u.name).avoid_until]
-    if not reachable:
-        return list(candidates)
-    local = [u for u in reachable if u.data_centre == data_centre]
     count = max(MIN_SAMPLE_SIZE, round(TOTAL_SAMPLE_SIZE / instance_count))
+
+    def sample_reachable(upstreams: list[Upstream]) -> list[Upstream]:
+        drawn = rng.sample(upstreams, min(len(upstreams), count * DRAWN_PER_CANDIDATE))
+        reachable = [u for u in drawn if now >= load_of(u.name).avoid_until]
+        if not reachable and len(drawn) < len(upstreams):
+            reachable = [u for u in upstreams if now >= load_of(u.name).avoid_until]
+        return _sample_near(reachable, data_centre, count, rng)
+
+    sample = sample_reachable([u for u in candidates if u.name not in demand.reserved])
+    if demand.reserved and (demand.is_urgent or not sample):
+        sample += sample_reachable([u for u in candidates if u.name in demand.reserved])
+    return sample or list(candidates)
+
+
+def _sample_near(
+    upstreams: list[Upstream], data_centre: str, count: int, rng: random.Random
+) -> list[Upstream]:
+    local = [u for u in upstreams if u.data_centre == data_centre]
     sample = rng.sample(local, min(len(local), (count + 1) // 2))
-    remaining = [u for u in reachable if u not in sample]
+    remaining = [u for u in upstreams if u not in sample]
     return sample + rng.sample(remaining, min(len(remaining), count - len(sample)))
 
 
@@ -106,10 +171,11 @@
     candidates: Collection[Upstream],
     load_of: Callable[[str], UpstreamLoad],
     data_centre: str,
-    is_bulky: bool,
+    demand: Demand,
     instance_count: int,
     now: timedelta,
     rng: random.Random,
+    median_s: float,
 ) -> Choice | None:
     """Return the upstream with the shortest predicted time, preferring the own data centre.
 
@@ -121,12 +187,13 @@
         Returns the load of an upstream, given its name.
     data_centre : str
         Data centre of this instance.
-    is_bulky : bool
-        Whether the answer is large.
+    demand : Demand
     instance_count : int
         Number of instances that choose at the same time.
     now : timedelta
     rng : random.Random
+    median_s : float
+        Median service time of the service's upstreams, in seconds.
 
     Notes
     -----
@@ -140,14 +207,15 @@
     """
     if not candidates:
         return None
-    median_s = median_service_time(load_of(u.name) for u in candidates)
-    candidates = _sample_candidates(candidates, load_of, data_centre, instance_count, now, rng)
-    remote_factor = REMOTE_FACTOR_BULKY if is_bulky else REMOTE_FACTOR
+    candidates = _sample_candidates(
+        candidates, load_of, demand, data_centre, instance_count, now, rng
+    )
+    remote_factor = REMOTE_FACTOR_BULKY if demand.is_bulky else REMOTE_FACTOR
     best: Choice | None = None
     best_rank = (True, 0.0)
     for upstream in candidates:
         load = load_of(upstream.name)
-        predicted_s = predict_answer_time(upstream, load, median_s)
+        predicted_s = predict_answer_time(upstream, load, median_s, demand)
         # A declined request costs a retry, which may be declined as well.
         accepted_share = 1.0 - min(load.declined_share(now), MAX_DECLINED_SHARE)
         score = predicted_s / accepted_share * (1.0 + JITTER * rng.random())
--- a/laburnumhatch/placement/loads.py
+++ b/laburnumhatch/placement/loads.py
@@ -1,12 +1,12 @@
 """Load of each upstream as far as this instance knows it."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from ..clocks import milliseconds
-from ..coordination.messages import KeyCount, LoadReport, UpstreamStats
+from ..coordination.messages import KeyCount, LoadReport, RouteDemand, UpstreamStats
 
 __all__ = ["LoadTracker", "UpstreamLoad", "UpstreamTotals"]
 
@@ -73,6 +73,8 @@
         Sum of the service times since the last report, in seconds.
     reported_in_flight : int
         Value of `own_in_flight` in the last report.
+    totals_number : int
+        Number of the totals that `others_in_flight` is from; see `LoadTracker`.
     """
 
     own_in_flight: int = 0
@@ -88,6 +90,7 @@
     unreported_declines: int = 0
     unreported_service_time_s: float = 0.0
     reported_in_flight: int = 0
+    totals_number: int = 0
 
     @property
     def in_flight(self) -> int:
@@ -135,17 +138,36 @@
 
 @dataclass(slots=True)
 class LoadTracker:
-    """Loads of all upstreams by name, and counts of requests by key."""
+    """Loads of all upstreams by name, and the requests by key and by priority.
+
+    Attributes
+    ----------
+    loads : dict of str to UpstreamLoad
+    key_counts : dict of (str, int, int) to int
+        Requests since the last report by service, key and priority.
+    demands_s : dict of (str, int) to float
+        Expected work of the requests since the last report by service and priority, in seconds.
+
+    Notes
+    -----
+    Totals arrive for all upstreams several times a second, and an instance sends requests to few
+    of them meanwhile. Those of an upstream are applied when its load is looked up.
+    """
 
     loads: dict[str, UpstreamLoad] = field(default_factory=dict)
-    key_counts: dict[tuple[str, int], int] = field(default_factory=dict)
+    key_counts: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    demands_s: dict[tuple[str, int], float] = field(default_factory=dict)
     _totals_at: timedelta = timedelta(days=-1)
+    _find_total: Callable[[str], UpstreamTotals | None] | None = None
+    _totals_number: int = 0
 
     def load_of(self, name: str) -> UpstreamLoad:
         """Return the load of an upstream."""
         load = self.loads.get(name)
         if load is None:
             load = self.loads[name] = UpstreamLoad()
+        if load.totals_number != self._totals_number:
+            self._apply_total(name, load)
         return load
 
     def retain(self, names: Iterable[str]) -> None:
@@ -156,10 +178,17 @@
         ]:
             del self.loads[name]
 
-    def count_key(self, service: str, key: int) -> None:
+    def count_key(self, service: str, key: int, priority: int) -> None:
         """Count a request for a key."""
-        service_and_key = (service, key)
-        self.key_counts[service_and_key] = self.key_counts.get(service_and_key, 0) + 1
+        counted = (service, key, priority)
+        self.key_counts[counted] = self.key_counts.get(counted, 0) + 1
+
+    def count_demand(self, service: str, priority: int, work_s: float) -> None:
+        """Count the expected work of a request without an owned key."""
+        service_and_priority = (service, priority)
+        self.demands_s[service_and_priority] = (
+            self.demands_s.get(service_and_priority, 0.0) + work_s
+        )
 
     def record_answer(
         self, name: str, now: timedelta, *, service_time_s: float | None, declined: bool
@@ -188,6 +217,9 @@
         for name, load in self.loads.items():
             has_unreported = load.unreported_answers or load.unreported_declines
             if load.own_in_flight or load.reported_in_flight or has_unreported:
+                # The totals received so far contain the previous report.
+                if load.totals_number != self._totals_number:
+                    self._apply_total(name, load)
                 service = timedelta(seconds=load.unreported_service_time_s)
                 stats.append(
                     UpstreamStats(
@@ -201,25 +233,50 @@
             load.reported_in_flight = load.own_in_flight
             load.unreported_answers = load.unreported_declines = 0
             load.unreported_service_time_s = 0.0
-        keys = tuple(KeyCount(s, key, n) for (s, key), n in self.key_counts.items())
+        keys = tuple(KeyCount(*counted, n) for counted, n in self.key_counts.items())
+        demands = tuple(
+            RouteDemand(service, priority, timedelta(seconds=work_s))
+            for (service, priority), work_s in self.demands_s.items()
+        )
         self.key_counts.clear()
-        return LoadReport(tuple(stats), keys)
+        self.demands_s.clear()
+        return LoadReport(tuple(stats), keys, demands)
+
+    def apply_totals(
+        self, find_total: Callable[[str], UpstreamTotals | None], now: timedelta
+    ) -> None:
+        """Apply the totals over all instances, as sent by the leader.
 
-    def apply_totals(self, totals: Iterable[UpstreamTotals], now: timedelta) -> None:
-        """Apply the totals over all instances, as sent by the leader."""
+        Parameters
+        ----------
+        find_total : callable
+            Returns the totals of an upstream, given by name, or None if there are none.
+        now : timedelta
+        """
         self._totals_at = now
-        totals_by_name = {total.name: total for total in totals}
-        for name, load in self.loads.items():
-            if name not in totals_by_name:
-                load.others_in_flight = 0
-        for total in totals_by_name.values():
-            load = self.load_of(total.name)
-            load.others_in_flight = max(0, total.in_flight - load.reported_in_flight)
-            if total.service_time:
-                load.service_time_s = total.service_time.total_seconds()
+        self._find_total = find_total
+        self._totals_number += 1
 
     def expire_totals(self, now: timedelta) -> None:
         """Reset the other instances' requests in flight if the last totals are too old."""
-        if now - self._totals_at > TOTALS_LIFETIME:
-            for load in self.loads.values():
-                load.others_in_flight = 0
+        if self._find_total is not None and now - self._totals_at > TOTALS_LIFETIME:
+            self._find_total = None
+            self._totals_number += 1
+
+    def set_others_in_flight(self, counts: Mapping[str, int]) -> None:
+        """Set the other instances' requests in flight by upstream, as counted by the leader."""
+        self._find_total = None
+        self._totals_number += 1
+        for name, load in self.loads.items():
+            load.others_in_flight = counts.get(name, 0)
+            load.totals_number = self._totals_number
+
+    def _apply_total(self, name: str, load: UpstreamLoad) -> None:
+        load.totals_number = self._totals_number
+        total = self._find_total(name) if self._find_total is not None else None
+        if total is None:
+            load.others_in_flight = 0
+            return
+        load.others_in_flight = max(0, total.in_flight - load.reported_in_flight)
+        if total.service_time:
+            load.service_time_s = total.service_time.total_seconds()
--- a/laburnumhatch/placement/tests/test_choice.py
+++ b/laburnumhatch/placement/tests/test_choice.py
@@ -6,7 +6,13 @@
 import pytest
 
 from ...fleet import Upstream, UpstreamIncarnation
-from ..choice import choose_upstream, plausible_service_time, predict_answer_time
+from ..choice import (
+    Demand,
+    choose_upstream,
+    median_service_time,
+    plausible_service_time,
+    predict_answer_time,
+)
 from ..loads import LoadTracker
 
 NOW = timedelta(seconds=10)
@@ -38,10 +44,11 @@
         upstreams,
         load_tracker.load_of,
         data_centre,
-        is_bulky,
+        Demand(is_bulky=is_bulky),
         instance_count,
         NOW,
         random.Random(seed),
+        median_service_time(load_tracker.load_of(u.name) for u in upstreams),
     )
 
 
