Forget the limits of busy keys while no leader is heard

A limit holds for the load and the owner of a moment. Tests: limits and reservations reach all members, end with the load, and end without a leader.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -241,6 +241,9 @@
         )
         if not is_leader:
             self._load_tracker.expire_totals(now)
+            if now - self._leader_heard_at > MAX_STATE_AGE:
+                # The keys may have become less busy, or their owners faster, since.
+                self.key_limits = {}
         if not self._is_stopping:
             self._renew_or_take_over(now)
             if self._leader is not None and now - self._update_sent_at >= UPDATE_INTERVAL:
--- a/laburnumhatch/coordination/tests/test_member.py
+++ b/laburnumhatch/coordination/tests/test_member.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from ...clocks import milliseconds
+from ...keyspace import KeyLimits
 from ...keyspace.service_leases import split_key_space
 from .cluster import Cluster
 
@@ -228,3 +229,41 @@
     cluster.run(0.5)
     assert sorted(other.registry_view.upstreams) == ["u1", "u2", "u3", "u4"]
     assert "s" in other.ownership_maps
+
+
+def count_keys(cluster, member, key, requests):
+    for _ in range(requests):
+        cluster.members[member]._load_tracker.count_key("s", key, 2)
+
+
+def test_limit_for_a_busy_key_reaches_all_members_and_ends_with_the_load(cluster):
+    for _ in range(10):
+        count_keys(cluster, "b", 7, 400)
+        cluster.run(0.1)
+    shares = [member.key_limits["s"].share(7, 2) for member in cluster.members.values()]
+    assert all(share < 0.5 for share in shares)
+    cluster.run(5)
+    assert all(
+        member.key_limits.get("s", KeyLimits()).share(7, 2) == 1.0
+        for member in cluster.members.values()
+    )
+
+
+def test_limits_are_forgotten_without_a_leader(cluster):
+    (leader,) = cluster.leaders()
+    for member in cluster.members.values():
+        member.key_limits = {"s": KeyLimits({(7, 2): 0.1})}
+    cluster.store.is_down = True
+    cluster.crash(leader)
+    cluster.run(2)
+    assert all(member.key_limits == {} for member in cluster.members.values())
+
+
+def test_slots_are_reserved_at_all_members(cluster):
+    for _ in range(40):
+        cluster.members["b"]._load_tracker.count_demand("s", 1, 0.1)
+        cluster.members["c"]._load_tracker.count_demand("s", 2, 0.4)
+        cluster.run(0.1)
+    reserved = {member.reserved_slots["s"] for member in cluster.members.values()}
+    assert len(reserved) == 1
+    assert reserved.pop().priority == 1
