Keep long leases in mind across an early resignation; miss no first update

A member that was elected and told to stop before it had read the record resigned with "no long leases", although the leader before it may have granted leases of 10 s in an outage. Its successor then waited for the short lease only, after which a key can have two holders. A leader that has not read the record now says that long leases may be in force. 2.

Both tests in coordination/tests/test_member.py failed before.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -162,8 +162,11 @@
 
     @property
     def has_long_holds(self) -> bool:
-        """Whether leases with the longest duration may still be in force."""
-        return self._clock.now() < self._long_holds_until
+        """Whether leases with the longest duration may still be in force.
+
+        Before the record is read, nothing is known of the former leader's leases.
+        """
+        return not self._has_started or self._clock.now() < self._long_holds_until
 
     @property
     def is_settled(self) -> bool:
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -530,8 +530,9 @@
             self._observe_leader_row(
                 StoredRow(LEADER_KEY, encode_leader(announced), update.row_version)
             )
-            if self._leader is not None and not self._leadership.is_leader:
-                self._step_down()
+        if self._leader is not None and not self._leadership.is_leader:
+            # The first update of a stream holds the full state, so it must not be missed.
+            self._step_down()
         if self._leader is not None or peer != self.leader_name:
             return
         now = self._clock.now()
--- a/laburnumhatch/coordination/tests/test_member.py
+++ b/laburnumhatch/coordination/tests/test_member.py
@@ -1,5 +1,7 @@
 """Tests of members: election, updates from the leader, and failures of leader and store."""
 
+from datetime import timedelta
+
 import logbook
 import pytest
 from twisted.internet.defer import Deferred
@@ -7,6 +9,9 @@
 from ...clocks import milliseconds
 from ...keyspace import KeyLimits
 from ...keyspace.service_leases import split_key_space
+from ..leadership import LeaderRecord, decode_leader, encode_leader
+from ..messages import LeaderUpdate, ListedUpstream, RegistryChanges
+from ..store import StoredRow
 from .cluster import Cluster
 
 # Maximum time until a configuration is in force, as required by the users.
@@ -267,3 +272,49 @@
     reserved = {member.reserved_slots["s"] for member in cluster.members.values()}
     assert len(reserved) == 1
     assert reserved.pop().priority == 1
+
+
+def test_leader_that_resigns_before_it_has_read_the_record_does_not_rule_out_long_leases(cluster):
+    (first,) = cluster.leaders()
+    cluster.crash(first)
+    cluster.store.unreadable_tables = {"keys"}
+    cluster.run(4)
+    (second,) = cluster.leaders()
+    resigning = Deferred.fromCoroutine(cluster.members[second].resign())
+    for _ in range(100):
+        if not resigning.called:
+            cluster.clock.advance(milliseconds(1))
+    record = decode_leader(cluster.store.rows["leader", "leader"].value)
+    assert record.has_resigned and record.member == second
+    # The leader before it may have granted the longest leases, of which it knows nothing.
+    assert record.long_holds
+
+
+def test_deposed_leader_applies_the_full_state_from_its_successor(cluster):
+    (name,) = cluster.leaders()
+    successor = next(other for other in cluster.members if other != name)
+    member = cluster.members[name]
+    record = LeaderRecord(successor, "127.0.0.1", 1, member._leadership.record.term + 1, False)
+    # The row is read before the next tick, in which the member would step down.
+    version = member._leadership.row.version + 1
+    member._observe_leader_row(StoredRow("leader", encode_leader(record), version))
+    listed = ListedUpstream("u9", 1, "s", "127.0.0.1", 9009, "d", 2, False, timedelta())
+    update = LeaderUpdate(
+        leader=successor,
+        host="127.0.0.1",
+        port=1,
+        term=record.term,
+        row_version=version,
+        instance_count=3,
+        configuration_version=0,
+        configuration_age=timedelta(),
+        registry_age=timedelta(),
+        registry_changes=RegistryChanges(4, True, (listed,), ()),
+        map_changes=(),
+        totals=None,
+        reserved_slots=(),
+        key_limits=(),
+    )
+    member._handle_update(successor, update)
+    assert not member.is_leader
+    assert set(member.registry_view.upstreams) == {"u9"}
