--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+import logbook
 import pytest
 
 from ...clocks import milliseconds
@@ -236,3 +237,12 @@
 def harness(clock):
     """Return a gateway with two plain upstreams and a keyed one."""
     return GatewayHarness(clock)
+
+
+@pytest.fixture
+def records():
+    """Return the log records of the test."""
+    handler = logbook.TestHandler()
+    handler.push_application()
+    yield handler.records
+    handler.pop_application()
--- a/laburnumhatch/gateway/tests/test_request_log.py
+++ b/laburnumhatch/gateway/tests/test_request_log.py
@@ -1,21 +1,11 @@
 """Log lines about requests give the data behind a decision, and their rate is limited."""
 
-import logbook
 import pytest
 
 from ...clocks import milliseconds
 from ..request_log import ANSWERED_LINES_BURST, LINES_BURST
 
 
-@pytest.fixture
-def records():
-    """Return the log records of the test."""
-    handler = logbook.TestHandler()
-    handler.push_application()
-    yield handler.records
-    handler.pop_application()
-
-
 def test_refusal_is_logged_with_its_reason_and_context(harness, records, clock):
     harness.send_request(path=b"/keyed/x")
     clock.advance(milliseconds(700))
--- a/laburnumhatch/gateway/tests/test_unexpected_errors.py
+++ b/laburnumhatch/gateway/tests/test_unexpected_errors.py
@@ -1,6 +1,5 @@
 """An unexpected error ends one request or one tick, and is logged."""
 
-import logbook
 import pytest
 
 from ...clocks import milliseconds
@@ -11,15 +10,6 @@
     raise RuntimeError("planted")
 
 
-@pytest.fixture
-def records():
-    """Return the log records of the test."""
-    handler = logbook.TestHandler()
-    handler.push_application()
-    yield handler.records
-    handler.pop_application()
-
-
 def test_error_while_a_request_is_placed_is_answered_and_logged(harness, records, monkeypatch):
     monkeypatch.setattr(harness.gateway.service_splitter, "choose", broken)
     request = harness.send_request()
