--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -301,9 +301,22 @@
             self._on_upstreams_changed()
 
     def _handle_routes(self, routes: RouteTable) -> None:
+        generation = generation_of(self._reader.configuration_row_version)
         if self.routes is not None and routes.version <= self.routes.version:
+            if routes.version < self.routes.version:
+                _log.warning(
+                    "configuration {}, read in generation {} of the store, is older than {} and "
+                    "not used",
+                    routes.version,
+                    generation,
+                    self.routes.version,
+                )
             return
-        _log.info("configuration {} is in force", routes.version)
+        _log.info(
+            "configuration {} is in force, read in generation {} of the store",
+            routes.version,
+            generation,
+        )
         self.routes = routes
         self._on_upstreams_changed()
 
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -27,6 +27,8 @@
 )
 
 WRITE_TIMEOUT = milliseconds(900)
+# Table and key of the configuration, whose document is its version.
+CONFIGURATION = ("configuration", "configuration")
 CODEC = Codec([LINK_MESSAGES, COORDINATION_MESSAGES])
 
 
@@ -61,6 +63,11 @@
         self.rows = dict(rows)
         self.generation += 1
 
+    def put(self, table_and_key, value):
+        """Write a row that another party owns."""
+        self.version += 1
+        self.rows[table_and_key] = StoredRow(table_and_key[1], value, self.version)
+
     def of(self, member):
         """Return access to the store for one member."""
         return _StoreAccess(self, member)
@@ -97,6 +104,11 @@
             for handler in () if is_first else self._handlers:
                 handler(self.generation)
 
+    def row(self, table_and_key):
+        """Return a row as this member sees it, or None."""
+        row = self.store.rows.get(table_and_key)
+        return self._shown(row) if row is not None else None
+
     def _shown(self, row):
         version = version_in_generation(self.generation, row.version)
         return StoredRow(row.key, row.value, version)
@@ -326,11 +338,15 @@
         self.store = MemoryStore(clock)
         self.network = {}
         self.upstreams = MemoryUpstreams(clock)
-        self.version = 1
         self.routes = ()
         self.services = {"s": ServiceProperties("s", 100, True)}
         self.members = {}
         self._has_started = False
+        self.publish(1)
+
+    def publish(self, version):
+        """Write a version of the configuration, as an operator does."""
+        self.store.put(CONFIGURATION, b"%d" % version)
 
     def add(self, *names, cores=1.0, is_first_start=None):
         """Start members on machines with that much processing power.
@@ -389,11 +405,15 @@
         async def read_configuration(known):
             if store._call_fails():
                 return NotExecuted("down")
-            if known >= self.version:
+            row = store.row(CONFIGURATION)
+            if row is None or known >= row.version:
                 return known, None
-            routes = RouteTable.from_routes(
-                self.version, self.routes, self.services, CallerLimits()
-            )
-            return self.version, routes
+            return row.version, self._decode_configuration(row.value)
 
         return Sources(read_upstreams, read_configuration)
+
+    def _decode_configuration(self, content):
+        """Decode a document, which holds a version or anything else, which is invalid."""
+        if not content.isdigit():
+            return None
+        return RouteTable.from_routes(int(content), self.routes, self.services, CallerLimits())
--- a/laburnumhatch/coordination/tests/test_member.py
+++ b/laburnumhatch/coordination/tests/test_member.py
@@ -13,7 +13,7 @@
 from ..leadership import LeaderRecord, decode_leader, encode_leader
 from ..messages import LeaderUpdate, ListedUpstream, RegistryChanges
 from ..store import StoredRow
-from .cluster import Cluster
+from .cluster import CONFIGURATION, Cluster
 
 # Maximum time until a configuration is in force, as required by the users.
 CONFIG_APPLY_S = 2.0
@@ -116,14 +116,14 @@
     (leader,) = cluster.leaders()
     other = next(name for name in cluster.members if name != leader)
     cluster.store.unreachable_members.add(other)
-    cluster.version += 1
+    cluster.publish(2)
     cluster.run(1)
     cluster.store.call_counts.clear()
     cluster.run(2)
     assert cluster.store.call_counts[other] <= 20
     cluster.store.unreachable_members.clear()
     cluster.run(CONFIG_APPLY_S)
-    assert cluster.members[other].routes.version == cluster.version
+    assert cluster.members[other].routes.version == 2
 
 
 def test_crashed_leader_is_replaced_within_the_time_limit(cluster):
@@ -167,7 +167,7 @@
 
 
 def test_new_configuration_reaches_all_members(cluster):
-    cluster.version = 2
+    cluster.publish(2)
     cluster.run(1.2)
     assert {m.routes.version for m in cluster.members.values()} == {2}
 
@@ -176,7 +176,7 @@
     (leader,) = cluster.leaders()
     other = next(name for name in cluster.members if name != leader)
     cluster.network[other].cut()
-    cluster.version = 2
+    cluster.publish(2)
     cluster.run(2)
     assert cluster.members[other].routes.version == 2
 
@@ -455,10 +455,10 @@
     cluster = Cluster(clock)
     cluster.upstreams.add("u1", "u2")
     names = [f"i{n}" for n in range(20)]
-    cluster.version = 0
+    del cluster.store.rows[CONFIGURATION]
     cluster.add(*names)
     cluster.run(1.5)
-    cluster.version = 1
+    cluster.publish(1)
     cluster.run(4)
     (leader,) = cluster.leaders()
     others = [cluster.store.call_counts[name] for name in names if name != leader]
