Take a newer configuration from the leader if the store holds an older one

Callers may have seen: added routes answered 404 or old timeouts at an instance that starts between the store's return from a copy and the operator's writing. Cause: what an instance reads first is taken for the newest; the store was the only source. Change: the leader's updates name the version in force; an instance with an older one asks for the document. Ruled out: waiting for the operator's writing, as after the loss of all instances nobody may write for long. Left: a new leader that knows only the older one isn't told by followers.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -29,6 +29,7 @@
     StoreReader,
 )
 from .received_state import ReceivedState
+from .shared_configuration import SharedConfiguration, StoredConfiguration
 from .store import RowsRead, RowStore, StoredRow, generation_of
 from .store_clock import StoreClock
 from .totals import pack_key_limits, pack_totals, unpack_key_limits
@@ -108,7 +109,6 @@
 
     Attributes
     ----------
-    routes : RouteTable or None
     registry_view : RegistryView
     ownership_maps : dict of str to OwnershipMap
     reserved_slots : dict of str to ReservedSlots
@@ -157,7 +157,7 @@
             sources,
             ReadHandlers(
                 self._handle_upstreams,
-                self._handle_routes,
+                self._handle_configuration,
                 self._handle_leader_row,
                 self._handle_owner_rows,
             ),
@@ -186,7 +186,6 @@
         self._received_state = ReceivedState()
         self._is_stopping = False
         self._announced_instance_count: int | None = None
-        self.routes: RouteTable | None = None
         self.registry_view = RegistryView()
         self.ownership_maps: dict[str, OwnershipMap] = {}
         self.reserved_slots: dict[str, ReservedSlots] = {}
@@ -202,11 +201,23 @@
             is_leader=lambda: self.is_leader,
             on_upstreams_changed=self._on_upstreams_changed,
         )
+        self._configuration = SharedConfiguration(
+            clock=clock,
+            links=links,
+            decode=sources.decode_configuration,
+            may_leader_announce=self._may_leader_announce,
+            on_change=self._on_upstreams_changed,
+        )
         links.add_handler(LoadReport, self._handle_report)
         links.add_handler(LeaderUpdate, self._handle_update)
         links.add_connect_handler(self._on_connected)
         store.add_generation_handler(self._on_store_generation)
 
+    @property
+    def routes(self) -> RouteTable | None:
+        """The routes in force; None before a configuration is known."""
+        return self._configuration.routes
+
     @property
     def is_leader(self) -> bool:
         """Whether this member is the leader."""
@@ -267,6 +278,7 @@
         now = self._clock.now()
         is_leader = self._leader is not None
         self._start_due_reads(now)
+        self._configuration.use_pending_if_due()
         if not is_leader:
             self._load_tracker.expire_totals(now)
             if now - self._leader_heard_at > MAX_STATE_AGE:
@@ -300,25 +312,14 @@
         if self.registry_view.apply_read(upstreams, self._clock.now()):
             self._on_upstreams_changed()
 
-    def _handle_routes(self, routes: RouteTable) -> None:
+    def _handle_configuration(self, configuration: StoredConfiguration) -> None:
         generation = generation_of(self._reader.configuration_row_version)
-        if self.routes is not None and routes.version <= self.routes.version:
-            if routes.version < self.routes.version:
-                _log.warning(
-                    "configuration {}, read in generation {} of the store, is older than {} and "
-                    "not used",
-                    routes.version,
-                    generation,
-                    self.routes.version,
-                )
-            return
-        _log.info(
-            "configuration {} is in force, read in generation {} of the store",
-            routes.version,
-            generation,
-        )
-        self.routes = routes
-        self._on_upstreams_changed()
+        self._configuration.handle_read(configuration, generation)
+
+    def _may_leader_announce(self) -> bool:
+        """Return whether a leader that this member hasn't heard yet may have authority."""
+        is_heard = self._leader_heard_at != LONG_AGO
+        return not is_heard and not self._leadership.may_take_over(self._clock.now())
 
     def _handle_leader_row(
         self, row: StoredRow | None, store_time: timedelta | None, sent_at: timedelta
@@ -327,6 +328,7 @@
         self._store_clock.update(store_time, sent_at, now)
         was_row_known = self._leadership.is_row_known
         self._observe_leader_row(row, store_time)
+        self._configuration.use_pending_if_due()
         if not was_row_known:
             # What else has to be read depends on the row.
             self._start_due_reads(now)
@@ -524,6 +526,7 @@
             lost_history=record.lost_history,
             instance_count=instance_count,
             configuration_version=self._reader.configuration_row_version,
+            configuration_in_force=self._configuration.version,
             configuration_age=now - self._reader.configuration_as_of,
             registry_age=now - self._reader.registry_as_of,
             registry_changes=None,
@@ -609,7 +612,11 @@
         is_registry_newer = now - update.registry_age >= known_as_of - MAX_DELAY_VARIATION
         self._reader.registry_as_of = max(known_as_of, now - update.registry_age)
         self.registry_view.note_current(self._reader.registry_as_of, now)
-        if update.configuration_version > self._reader.configuration_row_version:
+        is_stored = update.configuration_version > self._reader.configuration_row_version
+        self._configuration.handle_announcement(
+            peer, update.configuration_in_force, is_stored=is_stored
+        )
+        if is_stored:
             self._reader.read_announced_configuration()
         elif self.routes is not None:
             configuration_as_of = now - update.configuration_age
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -8,6 +8,8 @@
 __all__ = [
     "COORDINATION_MESSAGES",
     "AnnouncedLimit",
+    "ConfigurationContent",
+    "ConfigurationRequest",
     "KeyCount",
     "KeyLimit",
     "LeaderUpdate",
@@ -216,6 +218,9 @@
         Number of connected instances, including the leader.
     configuration_version : int
         Version of the configuration's row in the store; 0 if none is known.
+    configuration_in_force : int
+        Version of the configuration that the leader has in force; 0 if it has none. The store may
+        hold an older one, after it has come back from a copy.
     configuration_age, registry_age : timedelta
         Time since the leader's last successful read of each.
     registry_changes : RegistryChanges or None
@@ -233,6 +238,7 @@
     lost_history: LostHistory | None
     instance_count: int
     configuration_version: int
+    configuration_in_force: int
     configuration_age: timedelta
     registry_age: timedelta
     registry_changes: RegistryChanges | None
@@ -308,6 +314,20 @@
     upstreams: tuple[LeavingUpstream, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationRequest:
+    """Request for a configuration that is newer than `known_version`."""
+
+    known_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationContent:
+    """The document of the configuration in force."""
+
+    content: bytes
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -319,5 +339,7 @@
         LeavingReport,
         PermitRequest,
         PermitAnswer,
+        ConfigurationRequest,
+        ConfigurationContent,
     ),
 )
--- a/laburnumhatch/coordination/reader.py
+++ b/laburnumhatch/coordination/reader.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 
 from ..clocks import Clock, milliseconds
+from .shared_configuration import StoredConfiguration
 from .store import NotExecuted, RowsRead, RowStore, Unanswered
 
 __all__ = ["Sources", "StoreReader", "ReadHandlers"]
@@ -64,13 +65,16 @@
     read_upstreams : callable
         Returns a coroutine of the upstreams, or of `NotExecuted` or `Unanswered` on failure.
     read_configuration : callable
-        Takes the known version of the row. Returns a coroutine of the row's version and the routes,
-        which are None if there is no newer valid version, or of `NotExecuted` or `Unanswered` on
-        failure.
+        Takes the known version of the row. Returns a coroutine of the row's version and the
+        `StoredConfiguration`, which is None if there is no newer valid version, or of `NotExecuted`
+        or `Unanswered` on failure.
+    decode_configuration : callable
+        Takes a document and returns the `StoredConfiguration`, or None if it is invalid.
     """
 
     read_upstreams: Callable[[], Any]
     read_configuration: Callable[[int], Any]
+    decode_configuration: Callable[[bytes], StoredConfiguration | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,8 +85,8 @@
     ----------
     on_upstreams : callable
         Called with the upstreams.
-    on_routes : callable
-        Called with the routes of a newer configuration.
+    on_configuration : callable
+        Called with the `StoredConfiguration` in a row whose version is new.
     on_leader_row : callable
         Called with the leader's row or None, the store's time, and the instant at which the read
         was sent.
@@ -91,7 +95,7 @@
     """
 
     on_upstreams: Callable[[Any], None]
-    on_routes: Callable[[Any], None]
+    on_configuration: Callable[[StoredConfiguration], None]
     on_leader_row: Callable[[Any, timedelta | None, timedelta], None]
     on_owner_rows: Callable[[Any], None]
 
@@ -255,11 +259,11 @@
         result = await self._sources.read_configuration(self.configuration_row_version)
         if not self._check_result(result):
             return
-        version, routes = result
+        version, configuration = result
         self.configuration_as_of = sent_at
         self.configuration_row_version = max(self.configuration_row_version, version)
-        if routes is not None:
-            self._handlers.on_routes(routes)
+        if configuration is not None:
+            self._handlers.on_configuration(configuration)
 
     async def _read_leader_row(self) -> None:
         sent_at = self._clock.now()
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -15,6 +15,7 @@
 from ..member import Member, MemberSetup
 from ..messages import COORDINATION_MESSAGES
 from ..reader import Sources
+from ..shared_configuration import StoredConfiguration
 from ..store import (
     Committed,
     NotExecuted,
@@ -410,10 +411,11 @@
                 return known, None
             return row.version, self._decode_configuration(row.value)
 
-        return Sources(read_upstreams, read_configuration)
+        return Sources(read_upstreams, read_configuration, self._decode_configuration)
 
     def _decode_configuration(self, content):
         """Decode a document, which holds a version or anything else, which is invalid."""
         if not content.isdigit():
             return None
-        return RouteTable.from_routes(int(content), self.routes, self.services, CallerLimits())
+        routes = RouteTable.from_routes(int(content), self.routes, self.services, CallerLimits())
+        return StoredConfiguration(routes, content)
--- a/laburnumhatch/coordination/tests/test_member.py
+++ b/laburnumhatch/coordination/tests/test_member.py
@@ -309,6 +309,7 @@
         lost_history=None,
         instance_count=3,
         configuration_version=0,
+        configuration_in_force=0,
         configuration_age=timedelta(),
         registry_age=timedelta(),
         registry_changes=RegistryChanges(4, True, (listed,), ()),
--- a/laburnumhatch/coordination/tests/test_restored_configuration.py
+++ b/laburnumhatch/coordination/tests/test_restored_configuration.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ..messages import ConfigurationContent
 from .cluster import Cluster
 
 # Maximum time until a configuration is in force, as required by the users.
@@ -99,3 +100,10 @@
     cluster.add("d")
     cluster.run(0.5)
     assert versions(cluster) == {1}
+
+
+def test_invalid_document_from_the_leader_is_not_used(cluster):
+    (leader,) = cluster.leaders()
+    other = next(name for name in cluster.members if name != leader)
+    cluster.network[leader].send(other, ConfigurationContent(b"invalid"))
+    assert versions(cluster) == {1}
--- a/laburnumhatch/platform/sources.py
+++ b/laburnumhatch/platform/sources.py
@@ -5,8 +5,9 @@
 import logbook
 
 from ..coordination.reader import Sources
+from ..coordination.shared_configuration import StoredConfiguration
 from ..coordination.store import NotExecuted, RowsRead, Unanswered
-from ..fleet import RouteTable, Upstream
+from ..fleet import Upstream
 from .configuration import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -26,10 +27,10 @@
 
     Notes
     -----
-    An invalid registration or version of the configuration is logged once, not at every read.
+    An invalid registration is logged once, not at every read, and an invalid configuration once for
+    each version of its row.
     """
     known_errors: dict[str, str] = {}
-    logged_versions: set[int] = set()
 
     async def read_upstreams() -> list[Upstream] | NotExecuted | Unanswered:
         found = await store.read(UPSTREAM_TABLE)
@@ -46,15 +47,13 @@
         row = found.rows[0]
         if row.version <= known:
             return known, None
-        return row.version, decode_logged(row.version, row.value)
+        return row.version, decode_logged(row.value)
 
-    def decode_logged(version: int, content: bytes) -> RouteTable | None:
+    def decode_logged(content: bytes) -> StoredConfiguration | None:
         try:
-            return decode_configuration(content)
+            return StoredConfiguration(decode_configuration(content), content)
         except DocumentInvalid as e:
-            if version not in logged_versions:
-                logged_versions.add(version)
-                _log.error("the configuration is invalid, the previous one stays in force: {}", e)
+            _log.error("the configuration is invalid, the previous one stays in force: {}", e)
             return None
 
-    return Sources(read_upstreams, read_configuration)
+    return Sources(read_upstreams, read_configuration, decode_logged)
