Refuse what can't be answered before a planned stop ends

Cause: the end of the stop was no input of any decision; requests kept their whole deadline. Ruled out: connections that are idle, since they are closed at 2.5 s.

--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -162,7 +162,9 @@
         self._callers.is_stopping = True
         stop_timeout = parse_duration(self._settings.stop_within)
         self._clock.call_later(UNREADY_BEFORE_CLOSE, self._lifecycle.readiness_delay_elapsed)
-        self._clock.call_later(stop_timeout * SHUTDOWN_TIMEOUT_SHARE, self._end_requests)
+        time_for_requests = stop_timeout * SHUTDOWN_TIMEOUT_SHARE
+        self._gateway.requests_end_at = self._clock.now() + time_for_requests
+        self._clock.call_later(time_for_requests, self._end_requests)
 
     def _end_requests(self) -> None:
         """Answer the requests that are left, and exit once the answers are sent."""
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -11,6 +11,7 @@
     Declined,
     Demand,
     FailedRequest,
+    can_finish_before_stop,
     choose_upstream,
     decide_admission,
     may_retry,
@@ -162,6 +163,10 @@
         requested_ms = parse_deadline_ms(find_header(request.fields, DEADLINE))
         allowed = DEFAULT_DEADLINE if requested_ms is None else milliseconds(requested_ms)
         self._deadline = request.received_at + min(allowed, route.timeout)
+        if gateway.requests_end_at is not None:
+            # The caller gets the final answer before the process ends.
+            last_answer_at = gateway.requests_end_at - UPSTREAM_ANSWER_GRACE
+            self._deadline = min(self._deadline, last_answer_at)
         self._deadline_timer = Timeout(
             gateway.clock,
             self._deadline + UPSTREAM_ANSWER_GRACE - gateway.clock.now(),
@@ -293,6 +298,11 @@
 
     def _admit(self, upstream: Upstream, predicted_s: float, service_time_s: float) -> None:
         assert self._route is not None
+        stop_in_s = self._gateway.stop_in_s()
+        if stop_in_s is not None and not can_finish_before_stop(predicted_s, stop_in_s):
+            detail = f"{predicted_s:.3f} s predicted, {max(stop_in_s, 0.0):.3f} s left"
+            self._refuse(ResultCode.STOPPING, DECLINED_RETRY_AFTER, detail)
+            return
         latency_objective_s = self._route.latency_objective.total_seconds()
         decision = decide_admission(
             predicted_s, service_time_s, latency_objective_s, self._remaining_s()
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -47,6 +47,11 @@
     load_tracker : LoadTracker
     pool : ConnectionPool
     retry_policy : RetryPolicy
+
+    Attributes
+    ----------
+    requests_end_at : timedelta or None
+        Instant of a planned stop at which the requests that are left are ended; None without one.
     """
 
     def __init__(
@@ -84,6 +89,13 @@
         self.request_log = RequestLog(clock, self._log_context)
         self.random = random.Random()
         self.max_idle_time = MAX_IDLE_TIME
+        self.requests_end_at: timedelta | None = None
+
+    def stop_in_s(self) -> float | None:
+        """Return the seconds until requests are no longer answered; None if no stop is planned."""
+        if self.requests_end_at is None:
+            return None
+        return (self.requests_end_at - self.clock.now()).total_seconds()
 
     @property
     def in_flight(self) -> int:
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -186,6 +186,20 @@
     )
 
 
+def make_routes():
+    """Return routes to a plain and to a keyed service."""
+    routes = (
+        make_route("safe"),
+        make_route("unsafe", DeliverySemantics.AT_MOST_ONCE),
+        make_route("keyed", service="keyed"),
+    )
+    services = {
+        "plain": ServiceProperties("plain", 110, False),
+        "keyed": ServiceProperties("keyed", 110, True),
+    }
+    return RouteTable.from_routes(1, routes, services, CallerLimits())
+
+
 class GatewayHarness:
     """Gateway with fake collaborators, two upstreams of a plain service and one of a keyed one."""
 
@@ -193,20 +207,10 @@
         self.clock = clock
         self.pool = FakePool()
         self.registry_view = RegistryView()
-        routes = (
-            make_route("safe"),
-            make_route("unsafe", DeliverySemantics.AT_MOST_ONCE),
-            make_route("keyed", service="keyed"),
-        )
-        services = {
-            "plain": ServiceProperties("plain", 110, False),
-            "keyed": ServiceProperties("keyed", 110, True),
-        }
-        table = RouteTable.from_routes(1, routes, services, CallerLimits())
         # Receivers of the answers to questions for permits, by upstream that needs them.
         self.permits = {}
         self.member = SimpleNamespace(
-            routes=table,
+            routes=make_routes(),
             registry_view=self.registry_view,
             ownership_maps={},
             instance_count=1,
--- a/laburnumhatch/placement/__init__.py
+++ b/laburnumhatch/placement/__init__.py
@@ -1,6 +1,6 @@
 """Placement of requests: admission control, choice of the upstream, and retries."""
 
-from .admission import Admitted, Declined, decide_admission
+from .admission import Admitted, Declined, can_finish_before_stop, decide_admission
 from .choice import Choice, Demand, choose_upstream, predict_answer_time
 from .key_limiter import KeyLimiter
 from .loads import LoadTracker, UpstreamLoad
@@ -22,6 +22,7 @@
     "RetryBudget",
     "UpstreamLoad",
     "WorkTimes",
+    "can_finish_before_stop",
     "choose_upstream",
     "decide_admission",
     "may_retry",
--- a/laburnumhatch/placement/admission.py
+++ b/laburnumhatch/placement/admission.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Admitted", "Declined", "decide_admission"]
+__all__ = ["Admitted", "Declined", "can_finish_before_stop", "decide_admission"]
 
 # Fraction of the latency objective that the predicted time may take. A value below 1.0 would leave
 # a margin for load that the prediction doesn't include; 1.0 leaves none.
@@ -14,6 +14,9 @@
 # Multiple of the service time that is always allowed: a single request may take this long even
 # without a queue.
 MIN_ALLOWED_FACTOR = 1.5
+# Multiple of the predicted time that must be left until the instance stops. Service times vary, and
+# a request that is cut off can't be repeated, while one that is refused runs at another instance.
+STOP_MARGIN_FACTOR = 3.0
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 1.0
 
@@ -70,3 +73,21 @@
     excess_s = predicted_s - min(allowed_s, remaining_s)
     retry_after_s = min(max(excess_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
     return Declined(retry_after_s, f"{predicted_s:.3f} s predicted, {allowed_s:.3f} s allowed")
+
+
+def can_finish_before_stop(predicted_s: float, time_left_s: float) -> bool:
+    """Return whether a request that is sent now will be answered before its instance stops.
+
+    Parameters
+    ----------
+    predicted_s : float
+        Predicted time until the chosen upstream answers.
+    time_left_s : float
+        Time until the instance answers no more.
+
+    Examples
+    --------
+    >>> can_finish_before_stop(0.2, 3.2), can_finish_before_stop(0.2, 0.3)
+    (True, False)
+    """
+    return predicted_s * STOP_MARGIN_FACTOR <= time_left_s
