Show that repeated refusals and broken heads reach no caller as answers

Each answer must name the request that waits on its connection, no connection carries a request twice, bytes on an idle connection close it, and a head is parsed whole or not at all. An answer is cut at each of its bytes, with a length and in chunks, by a close and by a reset. Assumed (docs/QUESTIONS.md, 1): upstreams echo the identifier also when they decline.

--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -32,12 +32,19 @@
     """Caller's request that records its answer."""
 
     def __init__(
-        self, clock, method=b"GET", path=b"/safe/x", fields=(), body=b"", has_identifier=True
+        self,
+        clock,
+        method=b"GET",
+        path=b"/safe/x",
+        fields=(),
+        body=b"",
+        has_identifier=True,
+        request_id=b"a1",
     ):
         self.method, self.target, self.body = method, path, body
         self.fields = [(b"host", b"h.example"), (DEADLINE, b"2000"), *fields]
         if has_identifier:
-            self.fields.append((ATTEMPT_ID, b"a1"))
+            self.fields.append((ATTEMPT_ID, request_id))
         self.received_at = clock.now()
         self.on_disconnect = lambda: None
         self.status = None
