--- a/laburnumhatch/gateway/tests/test_faulty_connections.py
+++ b/laburnumhatch/gateway/tests/test_faulty_connections.py
@@ -5,14 +5,16 @@
 from twisted.python.failure import Failure
 
 from ...clocks import milliseconds
-from ...platform.headers import ATTEMPT_ID, find_header
+from ...platform.headers import ATTEMPT_ID, NOT_RUN, SEAL, find_header
 from ...transport import ConnectionPool
 from ...transport.tests.conftest import FakeTransport
 
 REFUSAL = (
-    b"HTTP/1.1 %d No\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n%sContent-Length: 4\r\n\r\nfull"
+    b"HTTP/1.1 %d No\r\n"
+    + (ATTEMPT_ID + b": %s\r\n" + NOT_RUN + b": 1\r\n")
+    + b"%sContent-Length: 4\r\n\r\nfull"
 )
-SUCCESS = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n%s\r\n\r\n"
+SUCCESS = b"HTTP/1.1 200 OK\r\n" + ATTEMPT_ID + b": %s\r\n" + SEAL + b": s\r\n%s\r\n\r\n"
 LENGTH = b"Content-Length: 4"
 CHUNKED = b"Transfer-Encoding: chunked"
 
@@ -131,7 +133,7 @@
 
 @pytest.mark.parametrize("error", [ConnectionDone, ConnectionLost])
 def test_head_without_framing_that_breaks_off_is_never_a_success(upstreams, error):
-    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\nServer: x\r\n\r\n"
+    head = SUCCESS % (b"a1", b"Server: x")
     for length in range(len(head)):
         number = len(upstreams.reactor.connections)
         request = upstreams.request(b"a1")
--- a/laburnumhatch/gateway/tests/test_planned_stop.py
+++ b/laburnumhatch/gateway/tests/test_planned_stop.py
@@ -4,7 +4,7 @@
 
 from ...clocks import milliseconds
 from ...coordination.shared_configuration import StoredConfiguration
-from ...platform.headers import DEADLINE, find_header
+from ...platform.headers import ATTEMPT_ID, DEADLINE, find_header
 from ...transport.tests.conftest import FakeTransport
 from ..daemon import GatewayDaemon
 from ..settings import GatewaySettings
@@ -28,7 +28,9 @@
     stop_within="6s",
     first_start=True,
 )
-HEAD = b"%s /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 2500\r\n"
+HEAD = b"POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n" + (
+    ATTEMPT_ID + b": a1\r\n" + DEADLINE + b": 2500\r\n"
+)
 
 
 class FakePort:
@@ -129,7 +131,7 @@
 def test_request_in_the_first_seconds_of_a_stop_is_sent(instance, clock):
     instance.daemon.stop()
     clock.advance(milliseconds(1500))
-    Caller(instance.reactor).send(HEAD % (b"POST", b"a1") + b"\r\n")
+    Caller(instance.reactor).send(HEAD + b"\r\n")
     assert instance.has_sent
 
 
@@ -137,7 +139,7 @@
     caller = Caller(instance.reactor)
     instance.daemon.stop()
     clock.advance(milliseconds(2400))
-    caller.send(HEAD % (b"POST", b"a1"))
+    caller.send(HEAD)
     clock.advance(milliseconds(2900))
     caller.send(b"\r\n")
     assert not instance.has_sent
@@ -149,7 +151,7 @@
     caller = Caller(instance.reactor)
     instance.daemon.stop()
     clock.advance(milliseconds(2400))
-    caller.send(HEAD % (b"POST", b"a1") + b"\r\n")
+    caller.send(HEAD + b"\r\n")
     assert instance.has_sent
     for _ in range(40):
         clock.advance(milliseconds(100))
