Take no second copy of a grant's answer for a release's

What could happen: an upstream that writes its answer to a grant once more on a kept connection acknowledges the release that waits there. The next owner gets its grant while the former one still works on the keys (OWNER). Ruled out: a connection for each order, since new connections are priced and cost time. Left: a copy of a grant's answer that acknowledges a later grant to the same owner gives no key a second holder, as leases are counted from each sending.

--- a/laburnumhatch/platform/order_sender.py
+++ b/laburnumhatch/platform/order_sender.py
@@ -70,6 +70,7 @@
         may_send : callable
             Called immediately before the order is sent; the order is dropped if it returns False.
         """
+        is_release = isinstance(order, ReleaseOrder)
         if isinstance(order, GrantOrder):
             path, body = GRANT_PATH, encode_grant(order)
         else:
@@ -78,8 +79,12 @@
         fields = [(EXPECTED_UPSTREAM, order.upstream.name.encode()), (ATTEMPT_ID, call_id)]
 
         def matches_response(status: int, response_fields: HeaderFields) -> bool:
-            # A second copy of the answer to an earlier order bears the identifier of that order.
-            return find_header(response_fields, ATTEMPT_ID) in (None, call_id)
+            # A second copy of the answer to an earlier order may come on the connection. Upstreams
+            # that name no order tell at least the kind: only a release returns a handover token.
+            if find_header(response_fields, ATTEMPT_ID) not in (None, call_id):
+                return False
+            has_handover = find_header(response_fields, HANDOVER) is not None
+            return status != OK or has_handover == is_release
 
         host, port = address
         response = await self._caller.call(
