Send requests to the last known owners after the store has lost their record

Cause: the new leader published owners from the record of the copy, 9 s old, over the newer map that all instances had; keys that had moved since went to servers that don't hold them and were declined. Change: a leader that finds an older record takes the owners from the map that it last received; a member does not replace such a map by an older record. Who may be granted what, and when, is unchanged. Evidence: test_requests_go_to_the_last_owners_... with outages of 0.5, 2 and 3 s failed before.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -181,6 +181,7 @@
         rows: Iterable[StoredRow],
         lease_duration: timedelta,
         lost_authority_ends_at: timedelta | None,
+        known_maps: Mapping[str, OwnershipMap] | None = None,
     ) -> None:
         """Restore the leases from the rows of the store and start the periodic work.
 
@@ -192,6 +193,9 @@
         lost_authority_ends_at : timedelta or None
             Instant by which no leader whose rows the store has lost has authority, if it has lost
             any.
+        known_maps : mapping of str to OwnershipMap, optional
+            The maps that this member last received from a leader, by service. They tell more recent
+            owners than rows that the store has brought back from a copy.
         """
         now = self._clock.now()
         if lost_authority_ends_at is not None:
@@ -213,7 +217,12 @@
                     row.key,
                 )
                 adopt_outdated_record(
-                    leases, record, generation, self._timing, lost_authority_ends_at or now
+                    leases,
+                    record,
+                    generation,
+                    self._timing,
+                    lost_authority_ends_at or now,
+                    (known_maps or {}).get(row.key),
                 )
                 continue
             adopt_record(
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -342,6 +342,9 @@
             except ValueError as e:
                 _log.error("the ownership record of service {} can't be decoded: {}", row.key, e)
                 continue
+            if row.key in self.ownership_maps and record.generation < generation_of(row.version):
+                # The store has come back from a copy that is older than what a leader has sent.
+                continue
             ranges = tuple(
                 MapRange(r.first, r.last, r.owner, r.former is None)
                 for r in sorted(record.ranges, key=lambda r: r.first)
@@ -443,6 +446,7 @@
                     result.rows,
                     self._writer.former_lease_duration,
                     self._leadership.lost_authority_ends_at,
+                    self.ownership_maps,
                 )
                 leader.update_fleet(self._keyed_services(), self.registry_view.upstreams)
                 return
--- a/laburnumhatch/coordination/tests/test_lost_history.py
+++ b/laburnumhatch/coordination/tests/test_lost_history.py
@@ -9,6 +9,8 @@
 from twisted.internet.defer import Deferred
 
 from ...keyspace import decode_record
+from ...keyspace.balance import KeyMove
+from ...keyspace.service_leases import move_keys as move_owned_keys
 from ...keyspace.service_leases import split_key_space
 from ..leadership import decode_leader
 from .cluster import Cluster
@@ -41,6 +43,18 @@
     cluster.run(2.5)
 
 
+def exchange_owners(cluster):
+    """Move all keys from owners that stay, as for balance."""
+    (name,) = cluster.leaders()
+    leases = cluster.members[name]._leader.services["s"]
+    owners = [lease.owner for lease in leases.leases]
+    for lease, owner in zip(list(leases.leases), owners[1:] + owners[:1], strict=True):
+        move = KeyMove(lease.first, lease.last, owner)
+        move_owned_keys(leases, move, cluster.clock.now())
+    cluster.run(2)
+    assert [lease.owner for lease in leases.leases] == owners[1:] + owners[:1]
+
+
 def replace_all(cluster, *names):
     """Crash all members and start others."""
     for name in list(cluster.members):
@@ -87,6 +101,28 @@
     assert all_keys_held(cluster)
 
 
+@pytest.mark.parametrize("outage_s", [0.5, 2, 3])
+def test_requests_go_to_the_last_owners_after_the_leader_is_lost_with_the_history(
+    cluster, outage_s
+):
+    copied = cluster.store.copy()
+    exchange_owners(cluster)
+    (leader,) = cluster.leaders()
+    cluster.store.is_down = True
+    cluster.run(outage_s)
+    cluster.store.restore(copied)
+    cluster.store.is_down = False
+    cluster.crash(leader)
+    for _ in range(25):
+        # The longest leases last for 10 s from the first second of the outage on.
+        cluster.run(0.2)
+        for first, _ in split_key_space(64):
+            holder = cluster.upstreams.holder(first)
+            for member in cluster.members.values():
+                known = member.ownership_maps["s"].find(first)
+                assert holder is None or known.owner.name == holder
+
+
 @pytest.mark.parametrize("outage_s", [1.5, 4, 12])
 def test_no_key_has_two_holders_after_a_longer_outage(cluster, outage_s):
     copied = cluster.store.copy()
--- a/laburnumhatch/keyspace/lost_history.py
+++ b/laburnumhatch/keyspace/lost_history.py
@@ -8,7 +8,8 @@
 
 from ..fleet import UpstreamIncarnation
 from .lease import MAX_APPLICATION_DELAY, FormerOwner, LeaseTiming, Phase, RangeLease
-from .row import ServiceRecord
+from .ownership_map import OwnershipMap
+from .row import RecordedRange, ServiceRecord
 from .service_leases import ServiceLeases
 
 __all__ = ["UNKNOWN_OWNER", "adopt_outdated_record", "skip_lost_tokens", "unknown_leases_end"]
@@ -40,6 +41,7 @@
     generation: int,
     timing: LeaseTiming,
     authority_ended_at: timedelta,
+    known_map: OwnershipMap | None = None,
 ) -> None:
     """Restore the leases from a record that was written in an earlier generation of the store.
 
@@ -47,16 +49,20 @@
     ----------
     leases : ServiceLeases
     record : ServiceRecord
+        The record; an empty one if the store holds none.
     generation : int
         Present generation of the store.
     timing : LeaseTiming
     authority_ended_at : timedelta
         Instant by which no leader whose records are lost has authority.
+    known_map : OwnershipMap or None
+        The map that this instance last received from a leader, if any. Its owners are more recent
+        than the recorded ones.
 
     Notes
     -----
     Any upstream may hold any key, under a token that is not recorded, so there is nobody to be
-    fenced or told to release. The recorded owners stay a hint for requests, which an upstream that
+    fenced or told to release. The last known owners stay a hint for requests, which an upstream that
     doesn't hold the key refuses. They are granted their keys anew, under tokens above all that can
     have been used, once every unknown lease has ended.
     """
@@ -64,9 +70,14 @@
     skip_lost_tokens(leases, generation - record.generation)
     until = unknown_leases_end(timing, authority_ended_at)
     leases.leases = []
-    for recorded in sorted(record.ranges, key=lambda r: r.first):
+    owned = known_map.ranges if known_map is not None else sorted(record.ranges, key=_first_key)
+    for known in owned:
         token = leases.allocate_tokens(2)
-        lease = RangeLease(recorded.first, recorded.last, recorded.owner, token, Phase.UNRECORDED)
+        lease = RangeLease(known.first, known.last, known.owner, token, Phase.UNRECORDED)
         lease.former = FormerOwner(UNKNOWN_OWNER, 0, until, until)
         lease.is_confirmed = True
         leases.leases.append(lease)
+
+
+def _first_key(recorded: RecordedRange) -> int:
+    return recorded.first
