Let a leader lead on after an outage if no member knows a later one

The leader's authority ends after 1.3 s without the store; its successor found an older record and waited 13.8 s for leases of a leader that there never was. Change: the leader asks all members that it has ever sent updates to, once they have seen the new generation, for the highest term that they know. If all answer and none knows a later one, it leads on: it writes all rows again and renews. Members that it doesn't know may have been elected as well: a leader that has never heard from its predecessor renews recorded leases and moves no keys for 5 s, and the resuming leader counts such renewals in. After 5 s, after two generations, or if one member is missing, all is as before. Why it is safe: whoever can have moved keys since is asked or has its row in the store; a row of this generation is protected by its version. Ruled out: longer authority by consent of the followers, which needs a new rule for all elections and slows the recovery after the loss of all; releasing everywhere, as a late grant is not fenced by a release.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -35,6 +35,7 @@
 from ..keyspace.leaving_owners import replace_unusable_owners, unresponsive_owners
 from ..keyspace.lost_history import (
     adopt_outdated_record,
+    extend_for_unknown_renewals,
     skip_lost_tokens,
     unknown_leases_end,
 )
@@ -72,6 +73,7 @@
 # duration. It covers two renewals, so that time remains to send the grants before the authority
 # ends.
 STORE_SILENCE_LIMIT = milliseconds(800)
+LONG_AGO = timedelta(days=-1)
 
 _log = logbook.Logger("laburnumhatch.leader")
 
@@ -150,6 +152,10 @@
         self._unrecorded_until = timedelta(days=-1)
         self._is_stopped = False
         self._has_stopped_moves = False
+        self._moves_from = LONG_AGO
+        # Generation in which the rows were last written on top of an older copy. Tokens are skipped
+        # once for each, so that those of a generation stay below those of the next.
+        self._rewritten_generation = 0
         self._was_store_silent = False
         self._long_holds_until = timedelta(days=-1)
         self._is_tick_scheduled = False
@@ -182,6 +188,7 @@
         lease_duration: timedelta,
         lost_authority_ends_at: timedelta | None,
         known_maps: Mapping[str, OwnershipMap] | None = None,
+        moves_from: timedelta = LONG_AGO,
     ) -> None:
         """Restore the leases from the rows of the store and start the periodic work.
 
@@ -196,8 +203,12 @@
         known_maps : mapping of str to OwnershipMap, optional
             The maps that this member last received from a leader, by service. They tell more recent
             owners than rows that the store has brought back from a copy.
+        moves_from : timedelta, optional
+            Instant before which leases are renewed and nothing else is done, because the former
+            leader, which doesn't know this one, may lead on.
         """
         now = self._clock.now()
+        self._moves_from = moves_from
         if lost_authority_ends_at is not None:
             self._unrecorded_until = unknown_leases_end(self._timing, lost_authority_ends_at)
         if lease_duration > self._timing.lease_duration:
@@ -242,7 +253,17 @@
         versions = {row.key: row.version for row in rows}
         for service, leases in self.services.items():
             leases.row_version = versions.get(service, 0)
-            skip_lost_tokens(leases, 1)
+            leases.change_count += 1
+            if generation > self._rewritten_generation:
+                skip_lost_tokens(leases, 1)
+        self._rewritten_generation = generation
+
+    def count_in_unknown_renewals(self) -> None:
+        """Extend the latest expiry of leases that an unknown leader may have renewed."""
+        last_grant_at = self._clock.now() + self._leadership.authority_duration
+        for leases in self.services.values():
+            end = extend_for_unknown_renewals(leases, self._timing, last_grant_at)
+            self._long_holds_until = max(self._long_holds_until, end)
 
     def stop_moves(self) -> None:
         """Start no further moves of keys."""
@@ -340,10 +361,11 @@
         now = self._clock.now()
         was_dirty = self.is_dirty
         self._check_unresponsive(now)
+        may_move = not self._has_stopped_moves and now >= self._moves_from
         for leases in self.services.values():
-            if not self._has_stopped_moves:
+            if may_move:
                 self._update_owners(leases, now)
-        if not self._has_stopped_moves and now - self._rebalanced_at >= REBALANCE_INTERVAL:
+        if may_move and now - self._rebalanced_at >= REBALANCE_INTERVAL:
             self._rebalanced_at = now
             for leases in self.services.values():
                 self._rebalance(leases, now)
@@ -503,6 +525,8 @@
             lease_duration = self._timing.max_lease_duration
             self._long_holds_until = self._timing.latest_expiry(now, lease_duration)
         for lease in leases.leases:
+            if now < self._moves_from and lease.former is not None:
+                continue
             if is_store_silent and not self._was_store_silent:
                 lease.next_order_at = now
             order = next_order(lease, lease_duration, self._timing, now)
@@ -569,6 +593,9 @@
             )
         elif isinstance(result, OrderAcknowledged):
             self._mark_responsive(order.upstream)
+        if isinstance(result, GrantRefused) and now < self._moves_from:
+            # Another token would be a change that the former leader can't know of.
+            result = NoAnswer(never_sent=True)
         if lease.epoch != epoch:
             # The owner or phase has changed since; `held_until` already accounts for the order.
             return
--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -9,6 +9,7 @@
 from ..clocks import milliseconds
 from .store import StoredRow, generation_of
 from .store_clock import StoreClock
+from .witnesses import instance_of
 
 __all__ = [
     "LeaderRecord",
@@ -22,6 +23,7 @@
 # Terms of each generation of the store begin above those of the generations before, of which some
 # may be lost.
 TERMS_PER_GENERATION = 1_000_000
+NEVER = timedelta(days=-1)
 
 _log = logbook.Logger("laburnumhatch.member")
 
@@ -93,6 +95,11 @@
         Time between two renewals of the row.
     clock_margin : timedelta
         Additional time that a successor waits, because clocks may differ in rate.
+    resumption_limit : timedelta
+        Time after the last acknowledged renewal within which a leader may lead on although the
+        store has come back from an older copy, if no later leader is known. A leader that doesn't
+        know its predecessor moves no keys within this time. It covers the outages of a few seconds
+        in which a store is restored.
     takeover_retry_interval : timedelta
         Time between two attempts to take over. A random duration of up to the same length is added.
     """
@@ -100,6 +107,7 @@
     authority_duration: timedelta = milliseconds(1300)
     renew_interval: timedelta = milliseconds(350)
     clock_margin: timedelta = milliseconds(100)
+    resumption_limit: timedelta = milliseconds(5000)
     takeover_retry_interval: timedelta = milliseconds(300)
 
 
@@ -108,8 +116,9 @@
 
     When the store comes back from an older copy, its row tells a former state: a later leader may
     have authority although its row is gone. So the authority of any leader is waited for from then
-    on, whatever the row says. Only a leader that has authority itself knows that there is no later
-    one, and writes its row again at once. Later leaders learn of the loss from the row.
+    on, whatever the row says. A leader that has authority itself knows that there is no later one,
+    and writes its row again at once. One whose authority is over for a few seconds asks the others
+    first. Later leaders learn of the loss from the row.
 
     Parameters
     ----------
@@ -133,6 +142,11 @@
         Generation of the store.
     lost_authority_ends_at : timedelta or None
         Instant by which no leader whose row is lost has authority; None if no row is lost.
+    awaits_witnesses : bool
+        Whether this member, whose authority is over, leads on if no other member knows of a later
+        leader. It may not act before.
+    highest_term, led_term : int
+        Highest term that this member has known, and the last one in which it led.
     """
 
     def __init__(
@@ -154,6 +168,13 @@
         self._is_row_known = False
         # Generation for which the row was written.
         self._row_generation = 0
+        # Generation in which this member last renewed its row, and the one in which it leads on.
+        self._led_generation = 0
+        self._resumed_generation: int | None = None
+        # Members of which this one has received updates.
+        self._known_leaders: set[str] = set()
+        self.awaits_witnesses = False
+        self.highest_term = self.led_term = 0
         self.generation = 0
         self.lost_authority_ends_at: timedelta | None = None
         self.row: StoredRow | None = None
@@ -166,6 +187,11 @@
         """Instant until which this member may act as the leader."""
         return self.renewed_at + self._timing.authority_duration
 
+    @property
+    def authority_duration(self) -> timedelta:
+        """Time for which a leader may act after it sent a renewal that was acknowledged."""
+        return self._timing.authority_duration
+
     def has_authority(self, now: timedelta) -> bool:
         """Return whether this member may act as the leader now."""
         return self.is_leader and now < self.authority_ends_at
@@ -206,6 +232,8 @@
         if self._is_row_known and _version(row) <= _version(self.row):
             return
         record = decode_leader(row.value) if row is not None else None
+        if record is not None:
+            self.highest_term = max(self.highest_term, record.term)
         self.row, self._is_row_known = row, True
         self._row_generation = record.generation if record is not None else 0
         self._observed_at = now
@@ -221,16 +249,20 @@
             self.record = record
             self.lost_authority_ends_at = self._lost_authority_end(record, now)
             if self.is_leader and (record is None or record.member != self._member):
-                self.is_leader = False
+                self.is_leader = self.awaits_witnesses = False
 
     def _begin_without_history(self, now: timedelta) -> None:
         if self._generation_began_at is None or not self._is_row_known:
             self._generation_began_at = now
-        if not self.has_authority(now):
+        if self.has_authority(now) or self._has_resumed:
+            return
+        if self._may_resume(now):
+            self.awaits_witnesses = True
+        else:
             self._lose_history(self._generation_began_at)
 
     def _lose_history(self, generation_began_at: timedelta) -> None:
-        self.is_leader = False
+        self.is_leader = self.awaits_witnesses = False
         self.lost_authority_ends_at = generation_began_at + self._timing.authority_duration
 
     def _lost_authority_end(self, record: LeaderRecord | None, now: timedelta) -> timedelta | None:
@@ -243,11 +275,68 @@
     def step_down_without_history(self, now: timedelta) -> None:
         """End a leadership of an earlier generation whose authority is over.
 
-        A later leader may have been elected, whose row is lost.
+        A later leader may have been elected, whose row is lost. It leads on if the other members
+        show in time that there was none.
         """
-        if self.is_leader and not self.is_row_current and not self.has_authority(now):
+        if not self.is_leader or self.is_row_current or self.has_authority(now):
+            return
+        if self._has_resumed:
+            return
+        if self._may_resume(now):
+            self.awaits_witnesses = True
+        else:
             self._lose_history(self._generation_began_at or now)
 
+    @property
+    def _has_resumed(self) -> bool:
+        return self.is_leader and self._resumed_generation == self.generation
+
+    def _may_resume(self, now: timedelta) -> bool:
+        """Return whether other members can still show that nobody was elected after this one.
+
+        A leader that didn't know this member can have moved keys only after `resumption_limit`, and
+        one of the present generation has its row in the store. The others may elect one soon.
+        """
+        began_at = self._generation_began_at
+        return (
+            self.is_leader
+            and began_at is not None
+            and self.generation == self._led_generation + 1
+            and began_at - self.renewed_at
+            < self._timing.resumption_limit - self._timing.clock_margin
+            and now - began_at < self._timing.authority_duration
+        )
+
+    def resume(self) -> None:
+        """Lead on in this generation, because no member has known a later leader."""
+        self.awaits_witnesses = False
+        self._resumed_generation = self.generation
+
+    def note_leader_known(self, member: str) -> None:
+        """Record that an update of a leader has arrived, so that it knows this member."""
+        self._known_leaders.add(member)
+
+    def predecessor_may_resume_until(self, now: timedelta) -> timedelta:
+        """Return until when the recorded leader may lead on without asking this member.
+
+        Call this before a takeover. In the past if the leader knows this member, has resigned, or
+        was an earlier process of this instance.
+        """
+        record = self.record
+        if record is None or record.has_resigned or not self.is_row_current:
+            return NEVER
+        if record.member in self._known_leaders:
+            return NEVER
+        if (
+            instance_of(record.member) == instance_of(self._member)
+            and record.member != self._member
+        ):
+            return NEVER
+        limit = self._timing.resumption_limit
+        if record.renewed_by is None:
+            return now + limit
+        return self._store_clock.local_time_after(record.renewed_by + limit) or now + limit
+
     def _detect_expiry(self, row: StoredRow, store_time: timedelta) -> None:
         record = decode_leader(row.value)
         if record is None or record.renewed_by is None:
@@ -271,6 +360,10 @@
         self.record = decode_leader(row.value)
         self._row_generation = self.record.generation if self.record is not None else 0
         self._observed_at = now
+        self._led_generation = generation_of(row.version)
+        if self.record is not None:
+            self.led_term = self.record.term
+            self.highest_term = max(self.highest_term, self.led_term)
         self.is_leader = self.record is not None and not self.record.has_resigned
         self.renewed_at = max(self.renewed_at, sent_at)
 
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -18,7 +18,7 @@
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
 from .load_summary import LoadSummary
-from .messages import LeaderUpdate, LoadReport, ReservedSlots, Totals
+from .messages import LeaderUpdate, LoadReport, ReservedSlots, TermAnswer, TermQuestion, Totals
 from .reader import (
     KEYS_TABLE,
     LEADER_KEY,
@@ -33,6 +33,7 @@
 from .store import RowsRead, RowStore, StoredRow, generation_of
 from .store_clock import StoreClock
 from .totals import pack_key_limits, pack_totals, unpack_key_limits
+from .witnesses import Witnesses
 from .writer import LeadershipWriter
 
 __all__ = ["Member", "MemberSetup"]
@@ -176,6 +177,7 @@
             on_elected=self._become_leader,
         )
         self._broadcaster = Broadcaster(links)
+        self._witnesses = Witnesses()
         self._addresses: dict[UpstreamIncarnation, tuple[str, int]] = {}
         self._leader_heard_at = LONG_AGO
         self._update_sent_at = LONG_AGO
@@ -210,6 +212,8 @@
         )
         links.add_handler(LoadReport, self._handle_report)
         links.add_handler(LeaderUpdate, self._handle_update)
+        links.add_handler(TermQuestion, self._handle_term_question)
+        links.add_handler(TermAnswer, self._handle_term_answer)
         links.add_connect_handler(self._on_connected)
         store.add_generation_handler(self._on_store_generation)
 
@@ -395,7 +399,9 @@
         self._leadership.step_down_without_history(now)
         if self._leader is not None and not self._leadership.is_leader:
             self._step_down()
-        if self._leader is not None:
+        if self._leadership.awaits_witnesses:
+            self._ask_witnesses()
+        elif self._leader is not None:
             if now - self._writer.last_sent_at >= self._renew_interval(now):
                 self._writer.write()
         elif self._candidacy.may_try_now(
@@ -447,6 +453,7 @@
                     self._writer.former_lease_duration,
                     self._leadership.lost_authority_ends_at,
                     self.ownership_maps,
+                    self._writer.moves_from,
                 )
                 leader.update_fleet(self._keyed_services(), self.registry_view.upstreams)
                 return
@@ -462,14 +469,52 @@
         self._reader.forget_ages()
         self.registry_view.begin_grace(now)
         leader = self._leader
-        if leader is not None and self._leadership.is_leader:
+        if leader is not None and self._leadership.awaits_witnesses:
             _log.info(
-                "leads on in generation {} of the store and writes its rows again", generation
-            )
-            rewriting = Deferred.fromCoroutine(self._rewrite_rows(leader, generation))
-            rewriting.addErrback(
-                lambda f: _log.error("failed to write the rows again: {}", f.getTraceback())
+                "the store is in generation {} and this leader's authority is over: asking the "
+                "other members for later leaders",
+                generation,
             )
+            self._ask_witnesses()
+        elif leader is not None and self._leadership.is_leader:
+            self._lead_on(leader, generation)
+
+    def _lead_on(self, leader: Leader, generation: int) -> None:
+        _log.info("leads on in generation {} of the store and writes its rows again", generation)
+        rewriting = Deferred.fromCoroutine(self._rewrite_rows(leader, generation))
+        rewriting.addErrback(
+            lambda f: _log.error("failed to write the rows again: {}", f.getTraceback())
+        )
+
+    def _ask_witnesses(self) -> None:
+        """Ask the members that know this leader for later ones; lead on if there is none."""
+        self._witnesses.ask(self._store.generation)
+        for member in self._witnesses.missing():
+            self._links.send(member, TermQuestion(self._store.generation))
+        self._resume_if_proven()
+
+    def _resume_if_proven(self) -> None:
+        leadership, leader = self._leadership, self._leader
+        if leader is None or not leadership.awaits_witnesses:
+            return
+        if self._witnesses.exclude_later_term(leadership.led_term):
+            _log.info("no member knows a leader after term {}", leadership.led_term)
+            leadership.resume()
+            leader.count_in_unknown_renewals()
+            self._lead_on(leader, self._store.generation)
+
+    def _handle_term_question(self, peer: str, question: TermQuestion) -> None:
+        if self._store.generation < question.generation:
+            # Answered at the next question, once no answer of the earlier generation counts here.
+            self._reader.read_leader_row_now()
+            return
+        self._links.send(peer, TermAnswer(question.generation, self._leadership.highest_term))
+
+    def _handle_term_answer(self, peer: str, answer: TermAnswer) -> None:
+        self._witnesses.note_answer(peer, answer.generation, answer.term)
+        if answer.term > self._leadership.led_term:
+            _log.warning("member {} knows a leader of term {}", peer, answer.term)
+        self._resume_if_proven()
 
     async def _rewrite_rows(self, leader: Leader, generation: int) -> None:
         """Write the leader's rows again, on top of what the older copy holds."""
@@ -516,6 +561,7 @@
         now = self._clock.now()
         instance_count = len(self._links.connected_peers()) + 1
         self._announced_instance_count = instance_count
+        self._witnesses.note_members(self._links.connected_peers())
         totals = None
         if with_totals:
             self._update_sent_at = now
@@ -608,6 +654,7 @@
             return
         now = self._clock.now()
         self._leader_heard_at = now
+        self._leadership.note_leader_known(peer)
         self._leadership.observe_renewal(update.row_version, now)
         self._announced_instance_count = update.instance_count
         self.reserved_slots = {reserved.service: reserved for reserved in update.reserved_slots}
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -27,6 +27,8 @@
     "ReservedSlots",
     "RouteDemand",
     "ServiceDemand",
+    "TermAnswer",
+    "TermQuestion",
     "Totals",
     "UpstreamStats",
 ]
@@ -328,6 +330,21 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class TermQuestion:
+    """Question for the highest term that a member knows, once it has seen a generation."""
+
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class TermAnswer:
+    """Highest term of a leader, itself included, that a member knows in a generation."""
+
+    generation: int
+    term: int
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -341,5 +358,7 @@
         PermitAnswer,
         ConfigurationRequest,
         ConfigurationContent,
+        TermQuestion,
+        TermAnswer,
     ),
 )
--- a/laburnumhatch/coordination/reader.py
+++ b/laburnumhatch/coordination/reader.py
@@ -201,6 +201,10 @@
         """Read the configuration unless a read was sent within `min_interval`."""
         self._read("configuration", self._read_configuration, min_interval)
 
+    def read_leader_row_now(self) -> None:
+        """Read the leader's row unless a read of it is in progress."""
+        self._read("leader", self._read_leader_row, timedelta())
+
     def read_announced_configuration(self) -> None:
         """Read the configuration soon, because the leader has announced a newer one."""
         self.read_configuration(
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -42,6 +42,7 @@
         self.version = 0
         self.is_down = False
         self.unreachable_members = set()
+        self.crashed_members = set()
         self.unreadable_tables = set()
         # Members whose writes are refused, while their reads are answered.
         self.refused_writers = set()
@@ -93,7 +94,7 @@
         """Count a call and return whether the store refuses it."""
         self.store.call_count += 1
         self.store.call_counts[self.member] += 1
-        if self.member in self.store.unreachable_members:
+        if self.member in self.store.unreachable_members | self.store.crashed_members:
             return True
         self._observe_generation()
         return self.store.is_down
@@ -359,11 +360,13 @@
             is_first_start = not self._has_started
         for name in names:
             links = MemoryLinks(self.network, name)
+            self.store.crashed_members.discard(name)
+            store = self.store.of(name)
             member = self.members[name] = Member(
                 clock=self.clock,
                 setup=MemberSetup(name, "127.0.0.1", 1, cores, is_first_start),
-                store=self.store.of(name),
-                sources=self._sources(name),
+                store=store,
+                sources=self._sources(store),
                 links=links,
                 sender=self.upstreams,
                 load_tracker=LoadTracker(),
@@ -378,6 +381,7 @@
         """Stop a member abruptly, as by a power failure."""
         if name in self.network:
             self.network[name].cut()
+        self.store.crashed_members.add(name)
         member = self.members.pop(name)
         member._tick = lambda: None
         member._is_stopping = True
@@ -395,8 +399,8 @@
         now = self.clock.now()
         return [n for n, m in self.members.items() if m._leadership.has_authority(now)]
 
-    def _sources(self, name):
-        store = self.store.of(name)
+    def _sources(self, store):
+        """Return readers that share a member's access, as one client of the store serves all."""
 
         async def read_upstreams():
             if store._call_fails():
--- a/laburnumhatch/coordination/tests/test_random_faults.py
+++ b/laburnumhatch/coordination/tests/test_random_faults.py
@@ -43,6 +43,40 @@
             self.copies.append(self.cluster.store.copy())
             self.faults += (self.come_back_from_a_copy,)
 
+    def play_drills(self):
+        """Add outages after which the store comes back from a copy, restarts and strangers."""
+        self.faults += (
+            self.come_back_after_an_outage,
+            self.come_back_after_an_outage,
+            self.restart_member,
+            self.start_cut_off_member,
+        )
+
+    def come_back_after_an_outage(self):
+        """Let the store be away for a while and come back from a copy that was made before."""
+        self.cluster.store.is_down = True
+        self.run(self.rng.uniform(0.2, 4))
+        self.come_back_from_a_copy()
+        self.heal()
+
+    def restart_member(self):
+        """Replace the process of an instance."""
+        name = self.members(1)[0]
+        instance, _, boot = name.partition("/")
+        self.cluster.crash(name)
+        self.isolated.discard(name)
+        self.cluster.add(f"{instance}/{int(boot or 0) + 1}")
+
+    def start_cut_off_member(self):
+        """Start a member without streams, which alone reaches the store."""
+        self.started_count += 1
+        name = f"m{self.started_count}/1"
+        self.cluster.store.unreachable_members = set(self.cluster.members)
+        self.cluster.add(name)
+        self.cluster.network[name].cut()
+        self.isolated.add(name)
+        self.replace_upstream()
+
     def members(self, count):
         names = list(self.cluster.members)
         return self.rng.sample(names, min(count, len(names)))
@@ -128,3 +162,23 @@
     faulty.run(RECOVERY_OF_LOST_HISTORY_S if loses_history else RECOVERY_S)
     assert len(faulty.cluster.leaders()) == 1
     assert all(faulty.cluster.upstreams.holder(first) for first, _ in split_key_space(64))
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_drills_give_no_key_two_holders(clock, seed):
+    faulty = FaultyCluster(clock, seed, True)
+    faulty.play_drills()
+    faulty.cluster.run(3)
+    for _ in range(20):
+        faulty.copies.append(faulty.cluster.store.copy())
+        faulty.rng.choice(faulty.faults)()
+        faulty.run(faulty.rng.uniform(0.05, 2))
+        if faulty.rng.random() < 0.6:
+            faulty.heal()
+            faulty.run(faulty.rng.uniform(0, 2))
+    faulty.heal()
+    while faulty.isolated:
+        faulty.replace_member()
+    faulty.run(RECOVERY_OF_LOST_HISTORY_S)
+    assert len(faulty.cluster.leaders()) == 1
+    assert all(faulty.cluster.upstreams.holder(first) for first, _ in split_key_space(64))
--- a/laburnumhatch/keyspace/lost_history.py
+++ b/laburnumhatch/keyspace/lost_history.py
@@ -7,12 +7,18 @@
 from datetime import timedelta
 
 from ..fleet import UpstreamIncarnation
-from .lease import MAX_APPLICATION_DELAY, FormerOwner, LeaseTiming, Phase, RangeLease
+from .lease import MAX_APPLICATION_DELAY, NEVER, FormerOwner, LeaseTiming, Phase, RangeLease
 from .ownership_map import OwnershipMap
 from .row import RecordedRange, ServiceRecord
 from .service_leases import ServiceLeases
 
-__all__ = ["UNKNOWN_OWNER", "adopt_outdated_record", "skip_lost_tokens", "unknown_leases_end"]
+__all__ = [
+    "UNKNOWN_OWNER",
+    "adopt_outdated_record",
+    "extend_for_unknown_renewals",
+    "skip_lost_tokens",
+    "unknown_leases_end",
+]
 
 # Former owner of a range whose holders are not known. It has no address, so it gets no orders.
 UNKNOWN_OWNER = UpstreamIncarnation("", 0)
@@ -62,9 +68,9 @@
     Notes
     -----
     Any upstream may hold any key, under a token that is not recorded, so there is nobody to be
-    fenced or told to release. The last known owners stay a hint for requests, which an upstream that
-    doesn't hold the key refuses. They are granted their keys anew, under tokens above all that can
-    have been used, once every unknown lease has ended.
+    fenced or told to release. The last known owners stay a hint for requests, which an upstream
+    that doesn't hold the key refuses. They are granted their keys anew, under tokens above all that
+    can have been used, once every unknown lease has ended.
     """
     leases.last_token = record.last_token
     skip_lost_tokens(leases, generation - record.generation)
@@ -79,5 +85,42 @@
         leases.leases.append(lease)
 
 
+def extend_for_unknown_renewals(
+    leases: ServiceLeases, timing: LeaseTiming, last_grant_at: timedelta
+) -> timedelta:
+    """Take account of another leader that may have renewed the recorded leases.
+
+    Parameters
+    ----------
+    leases : ServiceLeases
+        The leases as the leader of the record knows them.
+    timing : LeaseTiming
+    last_grant_at : timedelta
+        Instant by which the other leader sent its last grant. It renewed recorded owners under
+        their recorded tokens, and did nothing for ranges with a recorded former owner.
+
+    Returns
+    -------
+    timedelta
+        Latest expiry of these leases.
+    """
+    end = timing.latest_expiry(last_grant_at, timing.max_lease_duration)
+    for lease in leases.leases:
+        former = lease.former
+        if former is None and lease.phase is Phase.UNRECORDED and lease.held_until == NEVER:
+            # The recorded owner's leases had ended, and it is not known any more who it was.
+            lease.former = FormerOwner(UNKNOWN_OWNER, 0, end, end)
+        elif former is None:
+            lease.held_until = max(lease.held_until, end)
+            lease.unanswered_grant_until = max(lease.unanswered_grant_until, end)
+            if not lease.is_token_acknowledged:
+                lease.new_token_deadline = last_grant_at + MAX_APPLICATION_DELAY
+        elif lease.phase is Phase.UNRECORDED:
+            former.expires_at = max(former.expires_at, end)
+            former.unanswered_grant_until = max(former.unanswered_grant_until, end)
+            former.needs_fencing = former.incarnation != UNKNOWN_OWNER
+    return end
+
+
 def _first_key(recorded: RecordedRange) -> int:
     return recorded.first
