Reject configurations with an empty host or a prefix without its slashes

The store accepts only valid documents, so this takes a fault of the store or of another writer. Evidence: 4 cases of test_a_document_with_a_wrong_field_is_rejected failed before. Not checked, since the users' pages don't say that it is invalid: a latency objective above the timeout.

--- a/laburnumhatch/platform/configuration.py
+++ b/laburnumhatch/platform/configuration.py
@@ -123,6 +123,10 @@
     for weighted_service in weighted_services:
         if weighted_service.service not in services:
             raise ValueError(f"routes.{name}: service {weighted_service.service!r} is not defined")
+    if not route.host:
+        raise ValueError(f"routes.{name}.host is empty")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        raise ValueError(f"routes.{name}.prefix: {route.prefix!r} doesn't begin and end with /")
     if not weighted_services:
         raise ValueError(f"routes.{name}: neither service nor traffic_split names a service")
     return Route(
