Tell callers of keys with lost owners to come back after a lease

Change: where the map says that a lease has to expire, a denied key is refused at once, for about half of a lease, also if the map still names an owner as a hint. Evidence: test_key_whose_last_known_owner_denies_it_is_refused_for_the_time_of_a_lease failed before.

--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -533,7 +533,9 @@
         elif self._may_have_run:
             self._refuse(ResultCode.UPSTREAM_BROKEN, None, outcome.reason)
         else:
-            is_owner_lost = self._key is not None and outcome.is_unreachable
+            is_owner_lost = self._key is not None and (
+                outcome.is_unreachable or self._is_awaiting_lease_expiry()
+            )
             retry_after = OWNER_LOST_RETRY_AFTER if is_owner_lost else DECLINED_RETRY_AFTER
             self._refuse(ResultCode.UPSTREAM_SHED, retry_after, outcome.reason)
 
--- a/laburnumhatch/gateway/owner_lookup.py
+++ b/laburnumhatch/gateway/owner_lookup.py
@@ -37,9 +37,12 @@
 
 
 def is_awaiting_lease_expiry(gateway: "Gateway", service: str, key: int) -> bool:
-    """Return whether a key has no owner until the lease of a former one has expired."""
+    """Return whether a key without an owner gets one only when a former lease has expired.
+
+    Owners whose record is lost may be in the map as a hint meanwhile.
+    """
     key_range = _find_range(gateway, service, key)
-    return key_range is not None and not key_range.is_held and key_range.awaits_lease_expiry
+    return key_range is not None and key_range.awaits_lease_expiry
 
 
 def suspend_denied_range(gateway: "Gateway", service: str, key: int, upstream: Upstream) -> None:
--- a/laburnumhatch/gateway/tests/test_exchange.py
+++ b/laburnumhatch/gateway/tests/test_exchange.py
@@ -355,3 +355,17 @@
     harness.gateway.end_requests()
     assert request.is_truncated and not request.is_complete
     assert harness.gateway.in_flight == 0
+
+
+def test_key_whose_last_known_owner_denies_it_is_refused_for_the_time_of_a_lease(harness, clock):
+    # The record of the owners is lost, and the last known one is a hint.
+    harness.set_owner("u3", awaits_lease_expiry=True)
+    first = harness.send_request(path=b"/keyed/x")
+    while first.status is None:
+        harness.pool.last.decline(421)
+    send_count = len(harness.pool.calls)
+    second = harness.send_request(path=b"/keyed/x")
+    assert len(harness.pool.calls) == send_count
+    for request in (first, second):
+        assert request.status == 503
+        assert float(find_header(request.answer_fields, b"retry-after")) >= 0.9
