Let the successors of an unknown leader move no keys either

What could happen: a leader that never heard from its predecessor is lost within 5 s, and its successor, which knows it but not the one before it, moves keys at once. If the store then comes back from a copy, the first leader leads on, as all whom it knows are asked; the moved keys have two holders (OWNER). Cause: the time until which no keys may be moved ended with the leader that had it. Change: the leader's row holds it, and successors keep to the latest. Evidence: test_successor_of_a_lost_stranger_moves_no_keys_either failed with two holders before.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -152,7 +152,7 @@
         self._unrecorded_until = timedelta(days=-1)
         self._is_stopped = False
         self._has_stopped_moves = False
-        self._moves_from = LONG_AGO
+        self._no_moves_before = LONG_AGO
         # Generation in which the rows were last written on top of an older copy. Tokens are skipped
         # once for each, so that those of a generation stay below those of the next.
         self._rewritten_generation = 0
@@ -188,7 +188,7 @@
         lease_duration: timedelta,
         lost_authority_ends_at: timedelta | None,
         known_maps: Mapping[str, OwnershipMap] | None = None,
-        moves_from: timedelta = LONG_AGO,
+        no_moves_before: timedelta = LONG_AGO,
     ) -> None:
         """Restore the leases from the rows of the store and start the periodic work.
 
@@ -203,12 +203,12 @@
         known_maps : mapping of str to OwnershipMap, optional
             The maps that this member last received from a leader, by service. They tell more recent
             owners than rows that the store has brought back from a copy.
-        moves_from : timedelta, optional
+        no_moves_before : timedelta, optional
             Instant before which leases are renewed and nothing else is done, because the former
             leader, which doesn't know this one, may lead on.
         """
         now = self._clock.now()
-        self._moves_from = moves_from
+        self._no_moves_before = no_moves_before
         if lost_authority_ends_at is not None:
             self._unrecorded_until = unknown_leases_end(self._timing, lost_authority_ends_at)
         if lease_duration > self._timing.lease_duration:
@@ -361,7 +361,7 @@
         now = self._clock.now()
         was_dirty = self.is_dirty
         self._check_unresponsive(now)
-        may_move = not self._has_stopped_moves and now >= self._moves_from
+        may_move = not self._has_stopped_moves and now >= self._no_moves_before
         for leases in self.services.values():
             if may_move:
                 self._update_owners(leases, now)
@@ -525,7 +525,7 @@
             lease_duration = self._timing.max_lease_duration
             self._long_holds_until = self._timing.latest_expiry(now, lease_duration)
         for lease in leases.leases:
-            if now < self._moves_from and lease.former is not None:
+            if now < self._no_moves_before and lease.former is not None:
                 continue
             if is_store_silent and not self._was_store_silent:
                 lease.next_order_at = now
@@ -593,7 +593,7 @@
             )
         elif isinstance(result, OrderAcknowledged):
             self._mark_responsive(order.upstream)
-        if isinstance(result, GrantRefused) and now < self._moves_from:
+        if isinstance(result, GrantRefused) and now < self._no_moves_before:
             # Another token would be a change that the former leader can't know of.
             result = NoAnswer(never_sent=True)
         if lease.epoch != epoch:
--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -68,6 +68,9 @@
         Generation of the store for which the row was written.
     lost_history : LostHistory or None
         The loss that the leader and its successors have to consider; None if nothing is lost.
+    no_moves_before : timedelta or None
+        Store's time before which the leader and its successors may move no keys, because a former
+        leader that doesn't know them may lead on; None if there is none.
     """
 
     member: str
@@ -80,6 +83,7 @@
     renewed_by: timedelta | None = None
     generation: int = 0
     lost_history: LostHistory | None = None
+    no_moves_before: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +149,8 @@
     awaits_witnesses : bool
         Whether this member, whose authority is over, leads on if no other member knows of a later
         leader. It may not act before.
+    no_moves_before : timedelta
+        Instant before which this member may move no keys as the leader.
     highest_term, led_term : int
         Highest term that this member has known, and the last one in which it led.
     """
@@ -174,6 +180,7 @@
         # Members of which this one has received updates.
         self._known_leaders: set[str] = set()
         self.awaits_witnesses = False
+        self.no_moves_before = NEVER
         self.highest_term = self.led_term = 0
         self.generation = 0
         self.lost_authority_ends_at: timedelta | None = None
@@ -316,26 +323,37 @@
         """Record that an update of a leader has arrived, so that it knows this member."""
         self._known_leaders.add(member)
 
-    def predecessor_may_resume_until(self, now: timedelta) -> timedelta:
-        """Return until when the recorded leader may lead on without asking this member.
+    def consider_predecessor(self, now: timedelta) -> None:
+        """Set `no_moves_before` before a takeover.
 
-        Call this before a takeover. In the past if the leader knows this member, has resigned, or
-        was an earlier process of this instance.
+        The recorded leader may lead on without asking this member, unless it knows this member, has
+        resigned, or was an earlier process of this instance. The same may hold for leaders before
+        it, of which the row tells.
         """
         record = self.record
-        if record is None or record.has_resigned or not self.is_row_current:
-            return NEVER
-        if record.member in self._known_leaders:
-            return NEVER
-        if (
-            instance_of(record.member) == instance_of(self._member)
-            and record.member != self._member
-        ):
-            return NEVER
+        self.no_moves_before = NEVER
+        if record is None or not self.is_row_current:
+            # Without a record of the present generation, no key is moved for longer anyway.
+            return
         limit = self._timing.resumption_limit
-        if record.renewed_by is None:
-            return now + limit
-        return self._store_clock.local_time_after(record.renewed_by + limit) or now + limit
+        if record.no_moves_before is not None:
+            self.no_moves_before = self._local_time_after(record.no_moves_before, now + limit)
+        if record.has_resigned or self._is_known_to(record.member):
+            return
+        may_resume_until = now + limit
+        if record.renewed_by is not None:
+            may_resume_until = self._local_time_after(record.renewed_by + limit, may_resume_until)
+        self.no_moves_before = max(self.no_moves_before, may_resume_until)
+
+    def _is_known_to(self, leader: str) -> bool:
+        """Return whether a leader knows this member, or can't be running any more."""
+        is_former_self = instance_of(leader) == instance_of(self._member) and leader != self._member
+        return is_former_self or leader in self._known_leaders
+
+    def _local_time_after(self, store_time: timedelta, latest: timedelta) -> timedelta:
+        """Return a local instant by which the store's time has passed, `latest` if unknown."""
+        instant = self._store_clock.local_time_after(store_time)
+        return latest if instant is None else instant
 
     def _detect_expiry(self, row: StoredRow, store_time: timedelta) -> None:
         record = decode_leader(row.value)
@@ -410,8 +428,14 @@
             renewed_by,
             self.generation,
             lost_history,
+            self._no_moves_before_in_store_time(),
         )
 
+    def _no_moves_before_in_store_time(self) -> timedelta | None:
+        if self.no_moves_before == NEVER:
+            return None
+        return self._store_clock.store_time_at_most(self.no_moves_before)
+
 
 def encode_leader(record: LeaderRecord) -> bytes:
     """Return the value of the row that holds a record."""
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -454,7 +454,7 @@
                     self._writer.former_lease_duration,
                     self._leadership.lost_authority_ends_at,
                     self.ownership_maps,
-                    self._writer.moves_from,
+                    self._leadership.no_moves_before,
                 )
                 leader.update_fleet(self._keyed_services(), self.registry_view.upstreams)
                 return
--- a/laburnumhatch/coordination/tests/test_witnesses.py
+++ b/laburnumhatch/coordination/tests/test_witnesses.py
@@ -3,8 +3,6 @@
 The cluster checks that no key gets two holders or a token that was used.
 """
 
-from datetime import timedelta
-
 import pytest
 
 from ...keyspace.service_leases import split_key_space
@@ -142,15 +140,38 @@
 
 def test_stranger_that_moves_keys_at_once_gives_keys_two_holders(cluster, monkeypatch):
     # Shows that the rule is needed.
-    monkeypatch.setattr(
-        Leadership, "predecessor_may_resume_until", lambda self, now: timedelta(days=-1)
-    )
+    monkeypatch.setattr(Leadership, "consider_predecessor", lambda self, now: None)
     cluster.add("x/1")
     with pytest.raises(AssertionError):
         lose_later_leader(cluster, "x/1")
         cluster.run(UNKNOWN_LEASES_S)
 
 
+def test_successor_of_a_lost_stranger_moves_no_keys_either(cluster, leader_and_follower):
+    leader, _ = leader_and_follower
+    copied = cluster.store.copy()
+    cluster.store.unreachable_members = set(cluster.members)
+    # The strangers reach the store and each other, and nobody else.
+    network, cluster.network = cluster.network, {}
+    cluster.add("x/1", "y/1")
+    for _ in range(2):
+        while cluster.leaders() in ([], [leader]):
+            cluster.run(0.02)
+        (stranger,) = cluster.leaders()
+        for upstream in list(cluster.upstreams.registered)[:1]:
+            cluster.upstreams.remove(upstream)
+            cluster.upstreams.add(f"{upstream}x")
+        cluster.run(0.6)
+        cluster.crash(stranger)
+    cluster.network = network
+    cluster.store.restore(copied)
+    cluster.store.unreachable_members = set()
+    cluster.run(1)
+    assert cluster.leaders() == [leader]
+    cluster.run(UNKNOWN_LEASES_S)
+    assert all_keys_held(cluster)
+
+
 def test_stranger_moves_keys_once_its_predecessor_can_not_lead_on(cluster):
     cluster.store.unreachable_members = set(cluster.members)
     cluster.add("x/1")
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -58,9 +58,6 @@
         The leader's work while this member leads, otherwise None.
     former_lease_duration : timedelta
         Longest lease duration of the grants that the former leader may have sent recently.
-    moves_from : timedelta
-        Instant until which a former leader that doesn't know this member may lead on, so that no
-        keys may be moved.
     last_sent_at : timedelta
         When the last write was sent.
     """
@@ -96,7 +93,6 @@
         self._is_stopped = False
         self.leader: Leader | None = None
         self.former_lease_duration = lease_timing.max_lease_duration
-        self.moves_from = LONG_AGO
         self.last_sent_at = LONG_AGO
 
     def take_over(self) -> None:
@@ -163,7 +159,7 @@
         sent_at = self.last_sent_at = self._clock.now()
         if self.leader is None:
             self.former_lease_duration = self._max_former_lease_duration()
-            self.moves_from = self._leadership.predecessor_may_resume_until(sent_at)
+            self._leadership.consider_predecessor(sent_at)
         row = self._leadership.row
         expected = [Expectation(LEADER_TABLE, LEADER_KEY, row.version if row is not None else 0)]
         rows = [NewRow(LEADER_TABLE, LEADER_KEY, self._next_row())]
