Let no two leaders have authority after the store has come back from a copy

A row that has changed is waited for now, as at the beginning of a generation. Ruled out as too strict: to lead on only with at least one witness, as the other leader may be unknown to it too.

--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -177,6 +177,8 @@
         # Generation in which this member last renewed its row, and the one in which it leads on.
         self._led_generation = 0
         self._resumed_generation: int | None = None
+        # After it leads on, it acts once no unknown leader has authority.
+        self._acts_from = NEVER
         # Members of which this one has received updates.
         self._known_leaders: set[str] = set()
         self.awaits_witnesses = False
@@ -201,7 +203,7 @@
 
     def has_authority(self, now: timedelta) -> bool:
         """Return whether this member may act as the leader now."""
-        return self.is_leader and now < self.authority_ends_at
+        return self.is_leader and self._acts_from <= now < self.authority_ends_at
 
     @property
     def is_row_known(self) -> bool:
@@ -315,7 +317,12 @@
         )
 
     def resume(self) -> None:
-        """Lead on in this generation, because no member has known a later leader."""
+        """Lead on in this generation, because no member has known a later leader.
+
+        A leader that this member doesn't know may have authority for a while, but can't renew it.
+        """
+        if self._generation_began_at is not None:
+            self._acts_from = self._generation_began_at + self._timing.authority_duration
         self.awaits_witnesses = False
         self._resumed_generation = self.generation
 
@@ -391,7 +398,9 @@
             return False
         waiting_time = self._timing.authority_duration + self._timing.clock_margin
         if self._generation_began_at is not None and not self.is_row_current:
-            return now > self._generation_began_at + waiting_time
+            # A late write of an earlier generation may have replaced the row of a leader that has
+            # authority, so a row that has changed is waited for as well.
+            return now > max(self._generation_began_at, self._observed_at) + waiting_time
         if self.record is None or self.record.has_resigned:
             return True
         if self.row is not None and self.row.version <= self._expired_version:
