--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -263,16 +263,18 @@
     def _begin_without_history(self, now: timedelta) -> None:
         if self._generation_began_at is None or not self._is_row_known:
             self._generation_began_at = now
+        self._end_authority_without_history(now)
+
+    def _end_authority_without_history(self, now: timedelta) -> None:
+        """Await the witnesses, or count with a lost leader, unless this member may still lead."""
         if self.has_authority(now) or self._has_resumed:
             return
         if self._may_resume(now):
             self.awaits_witnesses = True
-        else:
-            self._lose_history(self._generation_began_at)
-
-    def _lose_history(self, generation_began_at: timedelta) -> None:
+            return
         self.is_leader = self.awaits_witnesses = False
-        self.lost_authority_ends_at = generation_began_at + self._timing.authority_duration
+        began_at = now if self._generation_began_at is None else self._generation_began_at
+        self.lost_authority_ends_at = began_at + self._timing.authority_duration
 
     def _lost_authority_end(self, record: LeaderRecord | None, now: timedelta) -> timedelta | None:
         if record is None or record.lost_history is None:
@@ -287,14 +289,8 @@
         A later leader may have been elected, whose row is lost. It leads on if the other members
         show in time that there was none.
         """
-        if not self.is_leader or self.is_row_current or self.has_authority(now):
-            return
-        if self._has_resumed:
-            return
-        if self._may_resume(now):
-            self.awaits_witnesses = True
-        else:
-            self._lose_history(self._generation_began_at or now)
+        if self.is_leader and not self.is_row_current:
+            self._end_authority_without_history(now)
 
     @property
     def _has_resumed(self) -> bool:
