Wait from the beginning of a generation for a row that was there then

A row that is read within the margin for clocks after the generation began can't have replaced one of a leader that renewed since; a later one is waited for in full.

--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -395,8 +395,10 @@
         waiting_time = self._timing.authority_duration + self._timing.clock_margin
         if self._generation_began_at is not None and not self.is_row_current:
             # A late write of an earlier generation may have replaced the row of a leader that has
-            # authority, so a row that has changed is waited for as well.
-            return now > max(self._generation_began_at, self._observed_at) + waiting_time
+            # authority, unless this row was there when the generation began.
+            is_first = self._observed_at <= self._generation_began_at + self._timing.clock_margin
+            since = self._generation_began_at if is_first else self._observed_at
+            return now > since + waiting_time
         if self.record is None or self.record.has_resigned:
             return True
         if self.row is not None and self.row.version <= self._expired_version:
