--- a/laburnumhatch/coordination/tests/test_random_faults.py
+++ b/laburnumhatch/coordination/tests/test_random_faults.py
@@ -44,7 +44,7 @@
             self.faults += (self.come_back_from_a_copy,)
 
     def play_drills(self):
-        """Add outages after which the store comes back from a copy, restarts and strangers."""
+        """Add outages that end with an older copy, restarts, and members without streams."""
         self.faults += (
             self.come_back_after_an_outage,
             self.come_back_after_an_outage,
@@ -144,41 +144,33 @@
             assert len(self.cluster.leaders()) <= 1
 
 
-@pytest.mark.parametrize("seed", range(20))
-@pytest.mark.parametrize("loses_history", [False, True], ids=["", "lost history"])
-def test_faults_of_the_store_give_no_key_two_holders(clock, seed, loses_history):
-    faulty = FaultyCluster(clock, seed, loses_history)
+def play(faulty, fault_count, heal_share, recovery_s):
+    """Play faults, heal them all, and check that one leader is left and all keys are held."""
     faulty.cluster.run(3)
-    for _ in range(25):
+    for _ in range(fault_count):
         faulty.copies.append(faulty.cluster.store.copy())
         faulty.rng.choice(faulty.faults)()
         faulty.run(faulty.rng.uniform(0.05, 2))
-        if faulty.rng.random() < 0.4:
+        if faulty.rng.random() < heal_share:
             faulty.heal()
             faulty.run(faulty.rng.uniform(0, 2))
     faulty.heal()
     while faulty.isolated:
         faulty.replace_member()
-    faulty.run(RECOVERY_OF_LOST_HISTORY_S if loses_history else RECOVERY_S)
+    faulty.run(recovery_s)
     assert len(faulty.cluster.leaders()) == 1
     assert all(faulty.cluster.upstreams.holder(first) for first, _ in split_key_space(64))
 
 
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("loses_history", [False, True], ids=["", "lost history"])
+def test_faults_of_the_store_give_no_key_two_holders(clock, seed, loses_history):
+    recovery_s = RECOVERY_OF_LOST_HISTORY_S if loses_history else RECOVERY_S
+    play(FaultyCluster(clock, seed, loses_history), 25, 0.4, recovery_s)
+
+
 @pytest.mark.parametrize("seed", [*range(20), 3311, 3477, 3498])
 def test_drills_give_no_key_two_holders(clock, seed):
     faulty = FaultyCluster(clock, seed, True)
     faulty.play_drills()
-    faulty.cluster.run(3)
-    for _ in range(20):
-        faulty.copies.append(faulty.cluster.store.copy())
-        faulty.rng.choice(faulty.faults)()
-        faulty.run(faulty.rng.uniform(0.05, 2))
-        if faulty.rng.random() < 0.6:
-            faulty.heal()
-            faulty.run(faulty.rng.uniform(0, 2))
-    faulty.heal()
-    while faulty.isolated:
-        faulty.replace_member()
-    faulty.run(RECOVERY_OF_LOST_HISTORY_S)
-    assert len(faulty.cluster.leaders()) == 1
-    assert all(faulty.cluster.upstreams.holder(first) for first, _ in split_key_space(64))
+    play(faulty, 20, 0.6, RECOVERY_OF_LOST_HISTORY_S)
--- a/laburnumhatch/coordination/tests/test_witnesses.py
+++ b/laburnumhatch/coordination/tests/test_witnesses.py
@@ -128,7 +128,7 @@
         cluster.run(UNKNOWN_LEASES_S)
 
 
-def test_leader_leads_on_after_a_stranger_that_led_and_is_lost(cluster, leader_and_follower):
+def test_leader_leads_on_after_an_unknown_leader_that_is_lost(cluster, leader_and_follower):
     leader, _ = leader_and_follower
     cluster.add("x/1")
     lose_later_leader(cluster, "x/1")
@@ -138,7 +138,7 @@
     assert all_keys_held(cluster)
 
 
-def test_stranger_that_moves_keys_at_once_gives_keys_two_holders(cluster, monkeypatch):
+def test_unknown_leader_that_moves_keys_at_once_gives_keys_two_holders(cluster, monkeypatch):
     # Shows that the rule is needed.
     monkeypatch.setattr(Leadership, "consider_predecessor", lambda self, now: None)
     cluster.add("x/1")
@@ -147,22 +147,22 @@
         cluster.run(UNKNOWN_LEASES_S)
 
 
-def test_successor_of_a_lost_stranger_moves_no_keys_either(cluster, leader_and_follower):
+def test_successor_of_an_unknown_leader_moves_no_keys_either(cluster, leader_and_follower):
     leader, _ = leader_and_follower
     copied = cluster.store.copy()
     cluster.store.unreachable_members = set(cluster.members)
-    # The strangers reach the store and each other, and nobody else.
+    # The unknown members reach the store and each other, and nobody else.
     network, cluster.network = cluster.network, {}
     cluster.add("x/1", "y/1")
     for _ in range(2):
         while cluster.leaders() in ([], [leader]):
             cluster.run(0.02)
-        (stranger,) = cluster.leaders()
+        (unknown,) = cluster.leaders()
         for upstream in list(cluster.upstreams.registered)[:1]:
             cluster.upstreams.remove(upstream)
             cluster.upstreams.add(f"{upstream}x")
         cluster.run(0.6)
-        cluster.crash(stranger)
+        cluster.crash(unknown)
     cluster.network = network
     cluster.store.restore(copied)
     cluster.store.unreachable_members = set()
@@ -172,7 +172,7 @@
     assert all_keys_held(cluster)
 
 
-def test_stranger_moves_keys_once_its_predecessor_can_not_lead_on(cluster):
+def test_unknown_leader_moves_keys_once_its_predecessor_can_not_lead_on(cluster):
     cluster.store.unreachable_members = set(cluster.members)
     cluster.add("x/1")
     cluster.network["x/1"].cut()
