Ask the socket whether a peer closed its connection or reset it

Cause: where epoll reports an error or a hang-up without input, Twisted's epoll reactor gives the reason ConnectionDone and reads nothing. The outbound connection took this for the close that ends such an answer. The kernel sets a socket's error before it marks the input as ended, so a reset looks like this when epoll looks in between.

Change: OutboundConnection takes Twisted's notice of a half close and peeks at the socket: only a read that returns nothing completes an answer; an error is a reset; input that came meanwhile is read first.

Ruled out: a length that the gateway makes up for another reason (only connectionLost completes such an answer); a close by the kernel.

Callers' connections end requests by length or last chunk; streams between instances are framed.

--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -8,10 +8,12 @@
 
 import h11
 import logbook
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol as StreamProtocol
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from .fields import HeaderFields
 
@@ -128,6 +130,7 @@
         pass
 
 
+@implementer(IHalfCloseableProtocol)
 class OutboundConnection(StreamProtocol):
     """HTTP/1.1 client connection that carries one request at a time.
 
@@ -238,6 +241,26 @@
             return
         self._parse(data)
 
+    def readConnectionLost(self) -> None:
+        """Close the connection, which the peer has closed or reset.
+
+        Twisted's epoll reactor also reports an error without input, such as a reset, as an orderly
+        close. Only the socket itself tells which one it is.
+        """
+        try:
+            unread = self.transport.getHandle().recv(1, socket.MSG_PEEK)
+        except OSError as e:
+            self.transport.connectionLost(Failure(ConnectionLost(str(e))))
+            return
+        if unread:
+            # Input has arrived since the error; the reactor reports the end again once it is read.
+            self.transport.startReading()
+            return
+        self.transport.connectionLost(connectionDone)
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: this side never closes one direction alone."""
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Complete a response that ends with the connection, or report its loss."""
         self._is_closed = True
