End streamed answers at the timeout of their route

Cause: once an answer was streamed (over 256 KiB), the timer of the deadline set another one of 30 s and ended nothing.

Change: a streamed answer ends at the timeout of its route, with a reset. Where the caller's own deadline is earlier, the stream goes on until the timeout.

Test: test_endless_stream_ends_at_the_timeout_of_its_route (three kinds of route), one for a stream that begins late, one for an early deadline of the caller, one for a stream of another instance; all six fail before. The test that asserted 30 s more stated the fault and is replaced; the bound is now the users' half second after the timeout.

--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -72,8 +72,6 @@
 MAX_DISCARDED_BYTES = 65_536
 # Number of instances that a request is passed on to, one after the other, if they don't answer.
 MAX_PEERS = 2
-# Time after the deadline for which a streamed answer may continue.
-MAX_STREAM_OVERRUN = timedelta(seconds=30)
 
 
 class _State(Enum):
@@ -561,18 +559,26 @@
         self._deadline_timer = None
         if self._state is _State.FINISHED:
             return
-        if self._relay.is_streaming:
-            # The caller is receiving the answer, which may take long on a slow link.
-            self._deadline_timer = Timeout(
-                self._gateway.clock, MAX_STREAM_OVERRUN, self._on_stream_overrun
-            )
+        if not self._relay.is_streaming:
+            self._answer_unserved("")
             return
-        self._answer_unserved("")
+        assert self._route is not None
+        # The caller is receiving the answer, so its own deadline is left to it.
+        remaining = (
+            self._request.received_at
+            + self._route.timeout
+            + UPSTREAM_ANSWER_GRACE
+            - self._gateway.clock.now()
+        )
+        if remaining > timedelta():
+            self._deadline_timer = Timeout(self._gateway.clock, remaining, self._on_deadline)
+        else:
+            self._break_off_answer("the answer doesn't end within the route's timeout")
 
     def end(self) -> None:
         """Answer the caller without the upstream's answer, because the process ends now."""
         if self._relay.is_streaming:
-            self._on_stream_overrun()
+            self._break_off_answer("the instance stops")
         elif self._state is not _State.FINISHED:
             self._answer_unserved("the instance stops")
 
@@ -585,14 +591,13 @@
         else:
             self._refuse(ResultCode.DEADLINE_UNREACHABLE, DECLINED_RETRY_AFTER, detail)
 
-    def _on_stream_overrun(self) -> None:
-        """Break off an answer that doesn't end."""
-        self._deadline_timer = None
+    def _break_off_answer(self, reason: str) -> None:
+        """End a streamed answer in a way that its caller can't take for its end."""
         upstream = self._upstream
         self._abandon_call(abort=True)
         self._relay.abort_response()
         self._upstream = upstream
-        outcome = AttemptOutcome(OutcomeKind.UNKNOWN, reason="the answer doesn't end")
+        outcome = AttemptOutcome(OutcomeKind.UNKNOWN, reason=reason)
         self._log_failure("the streamed answer is incomplete", outcome)
         self._finish("broken off")
 
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -44,9 +44,10 @@
         body=b"",
         has_identifier=True,
         request_id=b"a1",
+        deadline_ms=2000,
     ):
         self.method, self.target, self.body = method, path, body
-        self.fields = [(b"host", b"h.example"), (DEADLINE, b"2000"), *fields]
+        self.fields = [(b"host", b"h.example"), (DEADLINE, b"%d" % deadline_ms), *fields]
         if has_identifier:
             self.fields.append((ATTEMPT_ID, request_id))
         self.received_at = clock.now()
--- a/laburnumhatch/gateway/tests/test_endless_answers.py
+++ b/laburnumhatch/gateway/tests/test_endless_answers.py
@@ -3,11 +3,16 @@
 import pytest
 
 from ...clocks import milliseconds
+from ...coordination.messages import RelayPeer
 from ...platform.headers import ATTEMPT_ID, NOT_RUN, SEAL
-from ..exchange import MAX_DISCARDED_BYTES, MAX_STREAM_OVERRUN
+from ..exchange import MAX_DISCARDED_BYTES
 from ..relay import MAX_BUFFERED_BYTES
+from .conftest import make_routes
 
 CHUNK = b"x" * 4096
+ROUTE_TIMEOUT = make_routes().routes_by_host["h.example"][0].timeout
+# Time after the route's timeout within which its caller must have a final answer.
+FINAL_ANSWER_WITHIN = milliseconds(500)
 
 
 def send_endless_body(call, status, fields, limit):
@@ -66,14 +71,48 @@
     assert isinstance(exchange._relay._buffer, bytearray)
 
 
-def test_endless_stream_ends_some_time_after_the_deadline(harness, clock):
+def assert_stream_ends_after(clock, request, call, remaining):
+    clock.advance(remaining)
+    assert not call.is_aborted and not request.is_truncated
+    clock.advance(FINAL_ANSWER_WITHIN)
+    assert call.is_aborted and request.is_truncated and not request.is_complete
+
+
+@pytest.mark.parametrize("path", [b"/safe/x", b"/unsafe/x", b"/keyed/x"])
+def test_endless_stream_ends_at_the_timeout_of_its_route(harness, clock, path):
+    harness.set_owner("u3")
+    request = harness.send_request(path)
+    call = harness.pool.last
+    send_endless_body(call, 200, [(SEAL, b"s")], 2 * MAX_BUFFERED_BYTES)
+    assert_stream_ends_after(clock, request, call, ROUTE_TIMEOUT)
+    assert harness.gateway.in_flight == 0
+
+
+def test_stream_that_begins_late_ends_at_the_timeout_of_its_route(harness, clock):
     request = harness.send_request()
     call = harness.pool.last
+    remaining = milliseconds(1)
+    clock.advance(ROUTE_TIMEOUT - remaining)
     send_endless_body(call, 200, [(SEAL, b"s")], 2 * MAX_BUFFERED_BYTES)
-    clock.advance(milliseconds(20_000))
-    assert not call.is_aborted
-    clock.advance(MAX_STREAM_OVERRUN)
-    assert call.is_aborted and request.is_truncated and not request.is_complete
+    assert_stream_ends_after(clock, request, call, remaining)
+
+
+def test_stream_is_not_broken_off_at_a_deadline_of_its_caller(harness, clock):
+    request = harness.send_request(deadline_ms=300)
+    call = harness.pool.last
+    send_endless_body(call, 200, [(SEAL, b"s")], 2 * MAX_BUFFERED_BYTES)
+    assert_stream_ends_after(clock, request, call, ROUTE_TIMEOUT)
+
+
+def test_endless_stream_of_another_instance_ends_at_the_timeout_of_its_route(harness, clock):
+    gateway = harness.gateway
+    gateway.link_monitor.unreachable = frozenset({"plain"})
+    gateway.relays.choose = lambda service, tried: RelayPeer("p/1", "127.0.0.1", 7000, "d", ())
+    request = harness.send_request()
+    call = harness.pool.last
+    assert call.address == ("127.0.0.1", 7000)
+    send_endless_body(call, 200, [(SEAL, b"s")], 2 * MAX_BUFFERED_BYTES)
+    assert_stream_ends_after(clock, request, call, ROUTE_TIMEOUT)
 
 
 def test_endless_stream_ends_when_the_caller_leaves(harness):
