End an answer to a caller that has left at the request's deadline

An upstream that sends without end kept its connection and the instance busy for good, and a stream that was paused for a slow caller was never read again.

A connection that serves another request meanwhile isn't touched.

Tests: one in gateway/tests/test_endless_answers.py, four in transport/tests/test_outbound.py; all five fail before.

--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -624,7 +624,9 @@
             if self._call is not None and abort:
                 self._call.abort()
             elif self._call is not None and self._call.connection is not None:
-                self._call.connection.discard_response()
+                close_if_incomplete = self._call.connection.discard_response()
+                remaining = self._deadline + UPSTREAM_ANSWER_GRACE - self._gateway.clock.now()
+                Timeout(self._gateway.clock, max(remaining, timedelta()), close_if_incomplete)
             self._call = None
             self._upstream = None
 
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -107,6 +107,7 @@
 
     def discard_response(self):
         self.is_dropped = True
+        return self.abort
 
     def pause(self):
         pass
--- a/laburnumhatch/gateway/tests/test_endless_answers.py
+++ b/laburnumhatch/gateway/tests/test_endless_answers.py
@@ -123,6 +123,17 @@
     assert call.is_aborted
 
 
+def test_answer_to_a_caller_that_left_is_waited_for_until_the_deadline(harness, clock):
+    request = harness.send_request(b"/unsafe/x")
+    call = harness.pool.last
+    request.on_disconnect()
+    assert call.is_dropped
+    clock.advance(ROUTE_TIMEOUT)
+    assert not call.is_aborted
+    clock.advance(FINAL_ANSWER_WITHIN)
+    assert call.is_aborted
+
+
 def test_request_is_not_sent_again_on_a_connection_that_carried_it(harness):
     harness.send_request()
     first = harness.pool.last
--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -219,13 +219,27 @@
         if not self._is_closed:
             self.transport.resumeProducing()
 
-    def discard_response(self) -> None:
+    def discard_response(self) -> Callable[[], None]:
         """Discard the response when it arrives; the receiver is not called any more.
 
         The request itself is not aborted.
+
+        Returns
+        -------
+        callable
+            Closes the connection if the response is still incomplete.
         """
-        if self._receiver is not None:
-            self._receiver = _DiscardingReceiver()
+        if self._receiver is None:
+            return lambda: None
+        receiver = self._receiver = _DiscardingReceiver()
+        # The receiver before may have paused the connection, and would no longer resume it.
+        self.resume()
+
+        def close_if_incomplete() -> None:
+            if self._receiver is receiver:
+                self.abort()
+
+        return close_if_incomplete
 
     def abort(self) -> None:
         """Close the connection at once; the receiver is not called any more."""
@@ -299,12 +313,12 @@
             if self._interim_count > MAX_INTERIM_RESPONSES:
                 raise h11.RemoteProtocolError("too many interim responses")
         elif isinstance(event, h11.Data):
-            if not self._is_mismatched:
+            if not self._is_mismatched and not isinstance(receiver, _DiscardingReceiver):
                 receiver.on_body(bytes(event.data))
                 return
             self._discarded_bytes += len(event.data)
             if self._discarded_bytes > MAX_DISCARDED_BYTES:
-                raise h11.RemoteProtocolError("too many bytes of responses to other requests")
+                raise h11.RemoteProtocolError("too many bytes of responses that nobody waits for")
         elif isinstance(event, h11.EndOfMessage):
             if self._is_mismatched:
                 self._skip_mismatched_response(request)
--- a/laburnumhatch/transport/tests/test_outbound.py
+++ b/laburnumhatch/transport/tests/test_outbound.py
@@ -182,3 +182,40 @@
     )
     upstream.close()
     assert not receiver.is_complete and receiver.failure.kind is FailureKind.LOST
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nid: a1\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def test_endless_response_that_nobody_waits_for_is_bounded(upstream):
+    upstream.send_request()
+    upstream.connection.discard_response()
+    upstream.send_bytes(CHUNKED)
+    sent = send_without_end(upstream, b"1000\r\n" + b"z" * 4096 + b"\r\n", 4 * MAX_DISCARDED_BYTES)
+    assert sent <= MAX_DISCARDED_BYTES + 16_384
+
+
+def test_connection_is_read_on_once_nobody_waits_for_its_response(upstream):
+    upstream.send_request()
+    upstream.connection.pause()
+    upstream.connection.discard_response()
+    assert upstream.transport.producerState == "producing"
+
+
+def test_discarded_response_that_stays_incomplete_closes_its_connection(upstream):
+    receiver = upstream.send_request()
+    close_if_incomplete = upstream.connection.discard_response()
+    upstream.send_bytes(CHUNKED)
+    close_if_incomplete()
+    assert upstream.transport.is_aborted and receiver.status is None
+
+
+def test_connection_of_a_complete_discarded_response_stays_open_for_the_next(upstream):
+    upstream.send_request()
+    close_if_incomplete = upstream.connection.discard_response()
+    upstream.send_bytes(ANSWER % (b"a1", b"hello"))
+    assert upstream.idle == [upstream.connection]
+    receiver = upstream.send_request(b"a2")
+    close_if_incomplete()
+    upstream.send_bytes(ANSWER % (b"a2", b"again"))
+    assert receiver.is_complete and not upstream.transport.is_aborted
