Keep no bytes of an upstream that switches to another protocol

The users' report: bytes that are no answer, without end, were kept until the machine was out of memory, and other callers' requests ended with it.

Cause: h11 then reports PAUSED and collects what comes. The outbound connection handled PAUSED like "needs more data". A 101 would have done the same, had an Upgrade field ever been passed on.

Change: a switch of protocols ends the connection as garbled; CONNECT is refused with 501 before anything is sent.

--- a/laburnumhatch/transport/inbound.py
+++ b/laburnumhatch/transport/inbound.py
@@ -31,6 +31,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -274,9 +275,9 @@
             self._request = CallerRequest(self, event, self.factory.clock.now())
             self._body, self._body_bytes = bytearray(), 0
             self._set_timer(limits.idle_timeout, self._on_request_timeout)
-            framing_error = _find_framing_error(self._request.fields, limits)
-            if framing_error is not None:
-                self._reject(*framing_error)
+            error = _find_request_error(self._request, limits)
+            if error is not None:
+                self._reject(*error)
                 return False
         elif isinstance(event, h11.Data):
             self._body += event.data
@@ -410,10 +411,12 @@
             connection.close_if_idle()
 
 
-def _find_framing_error(fields: HeaderFields, limits: CallerLimits) -> tuple[int, str] | None:
+def _find_request_error(request: CallerRequest, limits: CallerLimits) -> tuple[int, str] | None:
     """Return the status and reason with which to reject a request, or None if it is acceptable."""
-    lengths = [value for name, value in fields if name == b"content-length"]
-    if lengths and any(name == b"transfer-encoding" for name, _ in fields):
+    if request.method == b"CONNECT":
+        return 501, "no tunnels are opened here"
+    lengths = [value for name, value in request.fields if name == b"content-length"]
+    if lengths and any(name == b"transfer-encoding" for name, _ in request.fields):
         # RFC 9112, section 6.1: such a message may be an attempt at request smuggling.
         return 400, "both a length and a transfer coding"
     if lengths and int(lengths[0]) > limits.max_body_bytes:
--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -291,10 +291,11 @@
             self._http.receive_data(data)
             while self._receiver is not None:
                 event = self._http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                if isinstance(event, h11.ConnectionClosed):
+                if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
                     return
+                if event is h11.PAUSED:
+                    # From here on, h11 would only collect what the peer sends.
+                    raise h11.RemoteProtocolError("the peer switched to another protocol")
                 self._handle_event(event)
         except h11.RemoteProtocolError as e:
             kind = FailureKind.LOST if not data else FailureKind.GARBLED
--- a/laburnumhatch/transport/tests/conftest.py
+++ b/laburnumhatch/transport/tests/conftest.py
@@ -77,13 +77,13 @@
         self.connection = OutboundConnection(self.idle.append, self.closed.append)
         self.connection.makeConnection(self.transport)
 
-    def send_request(self, request_id=b"a1", method=b"GET", body=b""):
+    def send_request(self, request_id=b"a1", method=b"GET", body=b"", fields=()):
         """Send a request and return the receiver of its response."""
         recorder = Recorder()
         request = OutboundRequest(
             method,
             b"/x",
-            [(b"host", b"h"), (b"id", request_id)],
+            [(b"host", b"h"), (b"id", request_id), *fields],
             body,
             lambda status, fields: (b"id", request_id) in fields,
         )
--- a/laburnumhatch/transport/tests/test_inbound.py
+++ b/laburnumhatch/transport/tests/test_inbound.py
@@ -149,3 +149,18 @@
     assert server.sent().startswith(b"HTTP/1.1 100")
     server.connection.dataReceived(b"abc")
     assert server.requests[0].body == b"abc"
+
+
+def test_tunnel_is_refused_before_its_request_is_handled(server):
+    server.connection.dataReceived(b"CONNECT /a HTTP/1.1\r\nHost: h.example\r\n\r\n" + b"x" * 4096)
+    assert server.requests == []
+    assert server.sent().startswith(b"HTTP/1.1 501 Not Implemented")
+    assert server.transport.disconnecting
+
+
+def test_connection_whose_caller_offers_an_upgrade_serves_further_requests(server):
+    upgrade = GET[:-2] + b"Connection: upgrade\r\nUpgrade: x\r\n\r\n"
+    for _ in range(2):
+        server.connection.dataReceived(upgrade)
+        server.requests.pop().respond(200, [], b"fine")
+        assert server.sent().endswith(b"\r\n\r\nfine")
--- a/laburnumhatch/transport/tests/test_outbound.py
+++ b/laburnumhatch/transport/tests/test_outbound.py
@@ -6,6 +6,8 @@
 
 import socket
 
+import pytest
+
 from ..outbound import MAX_DISCARDED_BYTES, MAX_RESPONSE_HEADER_BYTES, FailureKind
 
 ANSWER = b"HTTP/1.1 200 OK\r\nid: %s\r\ncontent-length: 5\r\n\r\n%s"
@@ -175,6 +177,21 @@
     assert receiver.failure.kind is FailureKind.GARBLED
 
 
+@pytest.mark.parametrize(
+    ("method", "fields", "head"),
+    [
+        (b"CONNECT", [], b"HTTP/1.1 200 OK\r\nid: a1\r\n\r\n"),
+        (b"GET", [(b"upgrade", b"x")], b"HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+    ],
+)
+def test_endless_bytes_of_another_protocol_are_not_kept(upstream, method, fields, head):
+    receiver = upstream.send_request(method=method, fields=fields)
+    upstream.send_bytes(head)
+    sent = send_without_end(upstream, b"z" * 4096, 100 * MAX_RESPONSE_HEADER_BYTES)
+    assert sent <= 4096
+    assert receiver.failure.kind is FailureKind.GARBLED
+
+
 def test_chunked_answer_without_its_last_chunk_is_not_complete(upstream):
     receiver = upstream.send_request()
     upstream.send_bytes(
