Parse many small parts in turns with the other connections

Change: a connection parses at most 64 events, such as chunks, in one iteration of the event loop, and reads nothing until the rest is parsed. The same for callers' connections. What has arrived when a connection ends is parsed at once, so that no answer that is there is lost.

--- a/laburnumhatch/fuzzing/targets.py
+++ b/laburnumhatch/fuzzing/targets.py
@@ -143,7 +143,7 @@
 
 def _receive_response(parts: Sequence[bytes]) -> None:
     idle: list[Any] = []
-    connection = OutboundConnection(idle.append, lambda c: None)
+    connection = OutboundConnection(idle.append, lambda c: None, lambda action: action())
     connection.makeConnection(_Transport())
     receiver = _Receiver()
     request = OutboundRequest(
--- a/laburnumhatch/transport/inbound.py
+++ b/laburnumhatch/transport/inbound.py
@@ -16,6 +16,7 @@
 from ..clocks import Cancellable, Clock, Timeout
 from ..fleet import CallerLimits
 from .fields import HeaderFields
+from .outbound import MAX_EVENTS_PER_TURN
 
 __all__ = ["CallerConnection", "CallerFactory", "CallerRequest"]
 
@@ -128,6 +129,7 @@
         self._pause_writer: Callable[[], None] | None = None
         self._resume_writer: Callable[[], None] | None = None
         self._is_parsing = False
+        self._is_turn_scheduled = False
         self._accepted_at = factory.clock.now()
 
     @property
@@ -186,7 +188,7 @@
         except h11.RemoteProtocolError as e:
             self._reject(e.error_status_hint, str(e))
             return
-        if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES and self._is_response_pending:
+        if self._has_too_many_pipelined_bytes():
             self.transport.pauseProducing()
         self._process_events()
 
@@ -252,11 +254,35 @@
         if self.is_idle and not self._is_closed and not is_new and not self._has_unread_bytes():
             self._close()
 
+    def _has_too_many_pipelined_bytes(self) -> bool:
+        return self._is_response_pending and len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
+
+    def _schedule_turn(self) -> None:
+        """Parse on in the next iteration of the event loop, and read nothing until then."""
+        self.transport.pauseProducing()
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self.factory.clock.call_later(timedelta(), self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_turn_scheduled = False
+        if self._is_closed:
+            return
+        if not self._has_too_many_pipelined_bytes():
+            self.transport.resumeProducing()
+        self._process_events()
+
     def _process_events(self) -> None:
+        """Handle what can be parsed, in several turns if it is much."""
         self._is_parsing = True
+        event_count = 0
         try:
             while not self._is_closed:
+                if event_count == MAX_EVENTS_PER_TURN:
+                    self._schedule_turn()
+                    return
                 event = self._http.next_event()
+                event_count += 1
                 if event is h11.NEED_DATA:
                     self._continue_if_expected()
                     return
--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -31,6 +31,9 @@
 MAX_INTERIM_RESPONSES = 16
 MAX_DISCARDED_BYTES = 1_048_576
 MAX_DISCARDED_RESPONSES = 16
+# Number of parsed events, such as chunks of a body, after which other connections get their turn.
+# Chunks of one byte would otherwise occupy the event loop for a quarter of a second per read.
+MAX_EVENTS_PER_TURN = 64
 # Time without an acknowledgement after which the kernel closes the connection because the peer's
 # machine is unreachable. It covers many round trips of the networks in the users' site files.
 TCP_USER_TIMEOUT_MS = 1000
@@ -140,6 +143,8 @@
         Called with the connection when it can carry another request.
     on_closed : callable
         Called with the connection when it is closed.
+    call_soon : callable
+        Calls its argument in the next iteration of the event loop.
 
     Attributes
     ----------
@@ -163,9 +168,11 @@
         self,
         on_idle: "Callable[[OutboundConnection], None]",
         on_closed: "Callable[[OutboundConnection], None]",
+        call_soon: Callable[[Callable[[], None]], object],
     ) -> None:
         self._on_idle = on_idle
         self._on_closed = on_closed
+        self._call_soon = call_soon
         self._http: h11.Connection | None = None
         self._request: OutboundRequest | None = None
         self._receiver: ResponseReceiver | None = None
@@ -173,6 +180,11 @@
         self._interim_count = 0
         self._discarded_bytes = 0
         self._is_closed = False
+        self._is_resetting = False
+        self._is_paused = False
+        # Whether received bytes wait to be parsed in a later iteration of the event loop.
+        self._has_unparsed_bytes = False
+        self._is_turn_scheduled = False
         self.keep_alive_timeout_s: int | None = None
 
     def connectionMade(self) -> None:
@@ -211,13 +223,15 @@
 
     def pause(self) -> None:
         """Stop reading from the connection until `resume` is called."""
-        if not self._is_closed:
-            self.transport.pauseProducing()
+        self._is_paused = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Resume reading from the connection."""
-        if not self._is_closed:
-            self.transport.resumeProducing()
+        self._is_paused = False
+        self._update_reading()
+        if self._has_unparsed_bytes:
+            self._schedule_turn()
 
     def discard_response(self) -> Callable[[], None]:
         """Discard the response when it arrives; the receiver is not called any more.
@@ -244,14 +258,13 @@
     def abort(self) -> None:
         """Close the connection at once; the receiver is not called any more."""
         self._receiver = None
-        if not self._is_closed:
-            self.transport.abortConnection()
+        self._reset()
 
     def dataReceived(self, data: bytes) -> None:
         """Parse bytes of a response."""
         if self._http is None or self._receiver is None:
             # No response is expected: the request was aborted, or the bytes are unsolicited.
-            self.transport.abortConnection()
+            self._reset()
             return
         self._parse(data)
 
@@ -278,6 +291,8 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Complete a response that ends with the connection, or report its loss."""
         self._is_closed = True
+        if self._has_unparsed_bytes and self._receiver is not None:
+            self._parse(None)
         if self._receiver is not None and reason.check(ConnectionDone):
             # An orderly close completes a response without a length; a reset doesn't.
             self._parse(b"")
@@ -285,22 +300,65 @@
             self._fail(CallFailure(FailureKind.LOST, False, reason.getErrorMessage()))
         self._on_closed(self)
 
-    def _parse(self, data: bytes) -> None:
+    def _reset(self) -> None:
+        if not self._is_closed:
+            self._is_resetting = True
+            self.transport.abortConnection()
+
+    def _update_reading(self) -> None:
+        if self._is_closed or self._is_resetting:
+            return
+        if self._is_paused or self._has_unparsed_bytes:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
+    def _schedule_turn(self) -> None:
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self._call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Parse on, unless the receiver has paused the connection meanwhile."""
+        self._is_turn_scheduled = False
+        if not self._has_unparsed_bytes or self._is_paused or self._is_closed:
+            return
+        if self._receiver is not None:
+            self._parse(None)
+        if not self._has_unparsed_bytes:
+            self._update_reading()
+
+    def _parse(self, data: bytes | None) -> None:
+        """Parse received bytes, none if the peer has closed, or go on with those before if None."""
         assert self._http is not None
         try:
-            self._http.receive_data(data)
-            while self._receiver is not None:
-                event = self._http.next_event()
-                if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
-                    return
-                if event is h11.PAUSED:
-                    # From here on, h11 would only collect what the peer sends.
-                    raise h11.RemoteProtocolError("the peer switched to another protocol")
-                self._handle_event(event)
+            if data is not None:
+                self._http.receive_data(data)
+            self._handle_events()
         except h11.RemoteProtocolError as e:
-            kind = FailureKind.LOST if not data else FailureKind.GARBLED
+            kind = FailureKind.LOST if data == b"" else FailureKind.GARBLED
             self._fail(CallFailure(kind, False, str(e)))
 
+    def _handle_events(self) -> None:
+        """Handle what can be parsed, in several turns if it is much."""
+        assert self._http is not None
+        self._has_unparsed_bytes = False
+        event_count = 0
+        while self._receiver is not None:
+            if event_count == MAX_EVENTS_PER_TURN and not self._is_closed:
+                self._has_unparsed_bytes = True
+                self._update_reading()
+                self._schedule_turn()
+                return
+            event = self._http.next_event()
+            event_count += 1
+            if event is h11.NEED_DATA or isinstance(event, h11.ConnectionClosed):
+                return
+            if event is h11.PAUSED:
+                # From here on, h11 would only collect what the peer sends.
+                raise h11.RemoteProtocolError("the peer switched to another protocol")
+            self._handle_event(event)
+
     def _handle_event(self, event: Any) -> None:
         receiver, request = self._receiver, self._request
         assert receiver is not None and request is not None
@@ -351,14 +409,13 @@
         self._receiver = self._request = self._http = None
         if is_cycle_complete and not has_extra_bytes and not self._is_closed:
             self._on_idle(self)
-        elif not self._is_closed:
-            self.transport.abortConnection()
+        else:
+            self._reset()
         receiver.on_end()
 
     def _fail(self, failure: CallFailure) -> None:
         receiver, self._receiver = self._receiver, None
-        if not self._is_closed:
-            self.transport.abortConnection()
+        self._reset()
         assert receiver is not None
         receiver.on_failure(failure)
 
--- a/laburnumhatch/transport/pool.py
+++ b/laburnumhatch/transport/pool.py
@@ -111,7 +111,10 @@
         self._end_timeout()
         pool, address = self._pool, self._address
         return _PooledConnection(
-            self._connection_opened, lambda c: pool.release(address, c), self._connection_closed
+            self._connection_opened,
+            lambda c: pool.release(address, c),
+            self._connection_closed,
+            lambda action: pool.clock.call_later(timedelta(), action),
         )
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
@@ -157,8 +160,8 @@
 class _PooledConnection(OutboundConnection):
     """Connection that calls `on_open` once it is established."""
 
-    def __init__(self, on_open: Any, on_idle: Any, on_closed: Any) -> None:
-        super().__init__(on_idle, on_closed)
+    def __init__(self, on_open: Any, on_idle: Any, on_closed: Any, call_soon: Any) -> None:
+        super().__init__(on_idle, on_closed, call_soon)
         self._on_open = on_open
 
     def connectionMade(self) -> None:
--- a/laburnumhatch/transport/tests/conftest.py
+++ b/laburnumhatch/transport/tests/conftest.py
@@ -73,8 +73,11 @@
     def __init__(self):
         self.idle = []
         self.closed = []
+        self.turns = []
         self.transport = FakeTransport()
-        self.connection = OutboundConnection(self.idle.append, self.closed.append)
+        self.connection = OutboundConnection(
+            self.idle.append, self.closed.append, self.turns.append
+        )
         self.connection.makeConnection(self.transport)
 
     def send_request(self, request_id=b"a1", method=b"GET", body=b"", fields=()):
@@ -94,6 +97,13 @@
         """Send bytes of a response."""
         self.connection.dataReceived(content)
 
+    def run_turn(self):
+        """Run what waits for the next iteration of the event loop; return whether there was any."""
+        turns, self.turns[:] = list(self.turns), []
+        for action in turns:
+            action()
+        return bool(turns)
+
     def close(self):
         """Close the connection in an orderly way."""
         self.connection.connectionLost(Failure(ConnectionDone()))
--- a/laburnumhatch/transport/tests/test_connection_ends.py
+++ b/laburnumhatch/transport/tests/test_connection_ends.py
@@ -114,7 +114,7 @@
 def upstream(connect, receiver):
     """Return the connection to an upstream that has received a request."""
     closed = []
-    protocol = OutboundConnection(lambda _: None, closed.append)
+    protocol = OutboundConnection(lambda _: None, closed.append, lambda action: action())
     connection = connect(protocol)
     connection.closed = closed
     request = OutboundRequest(b"GET", b"/x", [(b"host", b"h")], b"", lambda *_: True)
