Tell a leader that alone was cut off from the store that others read the registry

Cause: a gap of 1.7 s between two reads of the registry counts as an outage, in which entries may have lapsed, and what isn't listed is kept for 2.3 s more. A cut of the leader alone for 1.2 s makes such a gap, although the other members read the registry in the middle of it.

Change: members that read the registry themselves tell the leader the age of the read, in a message that instances of earlier builds ignore. The gap is then one between reads by any member.

Ruled out: going by the reports of each upstream, since entries don't show them (trial), and dropping what was listed since the outage, since entries may lapse late.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -35,6 +35,7 @@
     StoreReader,
 )
 from .received_state import ReceivedState, maps_of_rows
+from .registry_reports import RegistryReports
 from .shared_configuration import SharedConfiguration, StoredConfiguration
 from .store import RowsRead, RowStore, StoredRow, generation_of
 from .store_clock import StoreClock
@@ -195,6 +196,14 @@
             is_leader=lambda: self.is_leader,
             on_upstreams_changed=self._on_upstreams_changed,
         )
+        self._registry_reports = RegistryReports(
+            clock=clock,
+            links=links,
+            registry_view=self.registry_view,
+            leader_name=lambda: self.leader_name,
+            is_leader=lambda: self.is_leader,
+            instance_count=lambda: self.likely_instance_count,
+        )
         self._configuration = SharedConfiguration(
             clock=clock,
             links=links,
@@ -344,6 +353,7 @@
 
     def _handle_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         self._received_state.is_in_effect = False
+        self._registry_reports.report(self._clock.now() - self._reader.registry_as_of)
         if self.registry_view.apply_read(upstreams, self._clock.now()):
             self._on_upstreams_changed()
 
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -432,6 +432,23 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class RegistryReadReport:
+    """Message of a member to the leader that it has read the registry itself.
+
+    Attributes
+    ----------
+    age : timedelta
+        Time since the read was sent; not negative.
+    """
+
+    age: timedelta
+
+    def __post_init__(self) -> None:
+        if self.age < timedelta():
+            raise ValueError("the age of a read is negative")
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -451,5 +468,6 @@
         ReachReport,
         RelayPeerList,
         LeadershipYielded,
+        RegistryReadReport,
     ),
 )
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -377,6 +377,7 @@
                 on_owners_change=lambda: None,
             )
             member._candidacy.random_source = member._reader._random = random.Random(name)
+            member._registry_reports._random = random.Random(name)
             self.before_start(name, member)
             member.start()
         self._has_started = True
--- a/laburnumhatch/coordination/tests/test_departures.py
+++ b/laburnumhatch/coordination/tests/test_departures.py
@@ -2,9 +2,13 @@
 
 import random
 from datetime import timedelta
+from types import SimpleNamespace
 
 import pytest
 
+from ...fleet import RegistryView
+from ..messages import RegistryReadReport
+from ..registry_reports import REPORTERS, RegistryReports
 from .cluster import Cluster
 
 # Time within which a member that reaches the store must not use an upstream any more that has
@@ -13,6 +17,7 @@
 # Time after a fault of a member, or its start, for which it is excused.
 SETTLING_TIME = timedelta(seconds=3)
 LONG_AGO = timedelta(days=-1)
+INSTANCE_COUNT = 1705
 
 
 class DepartingCluster:
@@ -101,3 +106,43 @@
         cluster.run(0.02)
         for member in others:
             assert "u1" not in member.registry_view.upstreams
+
+
+@pytest.mark.parametrize("cut_s", [1.2, 1.3, 1.5, 2.0])
+def test_upstream_that_leaves_after_a_cut_of_the_leader_alone_is_not_kept(clock, cut_s):
+    cluster = Cluster(clock)
+    cluster.upstreams.add("u1", "u2", "u3", "u4")
+    cluster.add("a", "b", "c")
+    cluster.run(4)
+    cluster.store.unreachable_members = set(cluster.leaders())
+    cluster.run(cut_s)
+    cluster.store.unreachable_members = set()
+    cluster.run(0.5)
+    cluster.upstreams.remove("u1")
+    cluster.run(DEPARTURE_TIMEOUT.total_seconds())
+    for member in cluster.members.values():
+        assert "u1" not in member.registry_view.upstreams
+
+
+def test_few_members_report_that_they_have_read_the_registry(clock):
+    sent = []
+    links = SimpleNamespace(
+        add_handler=lambda *_: None, send=lambda leader, message: sent.append(leader)
+    )
+    for number in range(INSTANCE_COUNT):
+        reports = RegistryReports(
+            clock=clock,
+            links=links,
+            registry_view=RegistryView(),
+            leader_name=lambda: "a",
+            is_leader=lambda: False,
+            instance_count=lambda: INSTANCE_COUNT,
+        )
+        reports._random = random.Random(number)
+        reports.report(timedelta())
+    assert 0 < len(sent) <= 3 * REPORTERS
+
+
+def test_read_in_the_future_is_no_valid_report():
+    with pytest.raises(ValueError, match="negative"):
+        RegistryReadReport(timedelta(seconds=-1))
