--- a/laburnumhatch/fuzzing/targets.py
+++ b/laburnumhatch/fuzzing/targets.py
@@ -35,6 +35,7 @@
 from ..platform.upstreams import decode_upstream
 from ..transport import CallerFactory, OutboundRequest
 from ..transport.outbound import OutboundConnection
+from ..transport.request_body import RequestBody
 
 __all__ = ["TARGETS", "Target"]
 
@@ -147,7 +148,11 @@
     connection.makeConnection(_Transport())
     receiver = _Receiver()
     request = OutboundRequest(
-        b"GET", b"/a", [(b"host", b"h")], b"", lambda status, fields: (b"id", b"1") in fields
+        b"GET",
+        b"/a",
+        [(b"host", b"h")],
+        RequestBody.of(b""),
+        lambda status, fields: (b"id", b"1") in fields,
     )
     connection.send(request, receiver)
     for part in parts:
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -1,7 +1,9 @@
 """Process of one gateway instance."""
 
+import resource
 import secrets
 import signal
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -17,6 +19,7 @@
 from ..coordination.stream_key import restore_stream_key, shared_stream_key
 from ..entry.lifecycle import LifecycleActions, build_lifecycle
 from ..entry.numeric_resolver import NumericResolver
+from ..fleet import CallerLimits
 from ..keyspace import LeaseTiming
 from ..links import LINK_MESSAGES, Codec, PeerLinks
 from ..placement import LoadTracker
@@ -25,7 +28,15 @@
 from ..platform.store import PlatformStore
 from ..telemetry.bounded_stream import BoundedStream
 from ..telemetry.logs import start_logging
-from ..transport import CallerFactory, ConnectionPool, HttpCaller
+from ..transport import (
+    CallerFactory,
+    CallerRequest,
+    ConnectionPool,
+    HttpCaller,
+    MemoryBudget,
+    held_bytes_limit,
+)
+from ..transport.memory_budget import MEBIBYTE
 from .crash_guard import CrashGuard
 from .gateway import Gateway, RetryPolicy
 from .pages import metrics_page, readiness_page
@@ -120,9 +131,18 @@
             crash_guard=CrashGuard(crash_reports),
             relays=self._relays,
             shared_key=lambda: self._stream_key,
+            memory=MemoryBudget(held_bytes_limit(_memory_bytes(settings))),
         )
         self._pool = pool
-        self._callers = CallerFactory(clock, self._gateway.handle, self._gateway.limits)
+        self._callers = self._caller_factory(self._gateway.handle, self._gateway.limits)
+
+    def _caller_factory(
+        self,
+        handle: Callable[[CallerRequest], None],
+        limits: Callable[[], CallerLimits],
+    ) -> CallerFactory:
+        gateway = self._gateway
+        return CallerFactory(self._clock, handle, limits, gateway.memory, gateway.refuse_for_memory)
 
     def start(self) -> None:
         """Open the listening ports and start to read the store."""
@@ -136,8 +156,7 @@
             self._clock, metrics_page(self._gateway, self._store.call_counts), self._gateway.limits
         )
         self._ports.append(self._listen((settings.host, settings.metrics_port), metrics_factory))
-        relay_factory = CallerFactory(
-            self._clock,
+        relay_factory = self._caller_factory(
             relay_handler(self._gateway.handle_relayed, lambda: self._stream_key),
             lambda: relay_limits(self._gateway.limits()),
         )
@@ -148,7 +167,7 @@
             lambda f: _log.error("failed to join the other instances: {}", f.getTraceback())
         )
         self._lifecycle.started()
-        _log.info("started")
+        _log.info("started; holds {} bytes for others at most", self._gateway.memory.limit)
 
     def stop(self) -> None:
         """Start the graceful shutdown; repeated calls have no effect."""
@@ -226,6 +245,13 @@
         resignation.addBoth(lambda _: self._lifecycle.handed_over())
 
 
+def _memory_bytes(settings: GatewaySettings) -> float:
+    """Return the memory that the process may use, by the settings and by its own limit."""
+    own_limit, _ = resource.getrlimit(resource.RLIMIT_AS)
+    memory_bytes = settings.memory_mb * MEBIBYTE
+    return memory_bytes if own_limit == resource.RLIM_INFINITY else min(memory_bytes, own_limit)
+
+
 def run(settings_file: str) -> int:
     """Run the gateway until a signal stops it.
 
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -120,7 +120,7 @@
         # its identifier, so no connection carries the request twice.
         self._used_connections: set[OutboundConnection] = set()
         self._may_have_run = False
-        self._relay = ResponseRelay(request)
+        self._relay = ResponseRelay(request, gateway.memory)
 
     def start(self) -> None:
         """Find the route of the request and send it to an upstream."""
@@ -345,6 +345,7 @@
         self._upstream = None
         self._tried_peers.add(peer.member)
         call = PeerCall(gateway, self._request, peer, self._deadline, self._on_peer_result)
+        self._relay.release()
         self._peer_call, self._relay = call, call.relay
         gateway.request_log.log_relay(self._request, self._logged_target(), peer.member)
         call.start()
@@ -356,9 +357,9 @@
         gateway = self._gateway
         gateway.metrics.relayed[self._service, result.value] += 1
         if self._relay.is_streaming and result is not PeerResult.ANSWERED:
-            self._relay.abort_response()
             outcome = AttemptOutcome(OutcomeKind.UNKNOWN, reason=call.reason)
             self._log_failure("the streamed answer is incomplete", outcome)
+            self._relay.abort_response()
             self._finish("broken off")
             return
         if result is PeerResult.LOST:
@@ -370,7 +371,7 @@
             self._finish(result.value)
         elif result is PeerResult.REFUSED or (self._may_have_run and not self._route.is_repeatable):
             self._refuse(ResultCode.UPSTREAM_BROKEN, None, call.reason)
-        elif len(self._tried_peers) < MAX_PEERS:
+        elif len(self._tried_peers) < MAX_PEERS and self._request.body.can_be_sent_again:
             left = gateway.retry_budget_left(self._service)
             gateway.request_log.log_retry(self._request, self._logged_target(), call.reason, left)
             self._dispatch()
@@ -385,7 +386,8 @@
         self._state = _State.SENT
         self._upstream = upstream
         self._send_count += 1
-        self._relay = ResponseRelay(self._request)
+        self._relay.release()
+        self._relay = ResponseRelay(self._request, gateway.memory)
         load = gateway.load_tracker.load_of(upstream.name)
         load.own_in_flight += 1
         gateway.load_tracker.limits.count_sent(upstream.name)
@@ -460,8 +462,8 @@
         outcome = classify_failure(failure)
         self._record_attempt(outcome)
         if self._relay.is_streaming:
-            self._relay.abort_response()
             self._log_failure("the streamed answer is incomplete", outcome)
+            self._relay.abort_response()
             self._finish("broken off")
             return
         self._handle_failed_attempt(outcome)
@@ -507,6 +509,7 @@
         )
         if (
             may_retry(failed_request, self._has_untried_upstream())
+            and self._request.body.can_be_sent_again
             and gateway.crash_guard.may_repeat(self._request)
             and self._is_key_admitted()
             and self._spend_budget(outcome)
@@ -595,10 +598,10 @@
         """End a streamed answer in a way that its caller can't take for its end."""
         upstream = self._upstream
         self._abandon_call(abort=True)
-        self._relay.abort_response()
         self._upstream = upstream
         outcome = AttemptOutcome(OutcomeKind.UNKNOWN, reason=reason)
         self._log_failure("the streamed answer is incomplete", outcome)
+        self._relay.abort_response()
         self._finish("broken off")
 
     def _on_caller_disconnected(self) -> None:
@@ -606,13 +609,14 @@
             return
         is_repeatable = self._route is not None and self._route.is_repeatable
         # A request that may not be repeated is left to finish, because aborting it would leave its
-        # outcome unknown.
+        # outcome unknown. Without the rest of its body it can't finish.
         was_not_sent = self._sent_at is None
+        is_incomplete = not self._request.body.is_complete
         gateway = self._gateway
         gateway.request_log.log_disconnect(
             self._request, self._logged_target(), self._state.value, not was_not_sent
         )
-        self._abandon_call(abort=is_repeatable or was_not_sent)
+        self._abandon_call(abort=is_repeatable or was_not_sent or is_incomplete)
         self._finish("caller left")
 
     def _abandon_call(self, *, abort: bool) -> None:
@@ -640,9 +644,10 @@
             detail = f"{code.title}; {detail}" if detail else code.title
             code, retry_after = ResultCode.UPSTREAM_BROKEN, None
         refusal = Refusal(code, detail, retry_after=retry_after)
+        # Logged first, since the body that the fingerprint covers is dropped with the answer.
+        self._gateway.request_log.log_refusal(self._request, self._logged_target(), refusal)
         if self._request.is_open:
             refuse(self._request, refusal)
-        self._gateway.request_log.log_refusal(self._request, self._logged_target(), refusal)
         self._finish(str(code.number))
 
     def _logged_target(self) -> LoggedTarget:
@@ -659,6 +664,7 @@
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
         self._deadline_timer = None
+        self._relay.release()
         self._stop_waiting()
         gateway = self._gateway
         seconds = (gateway.clock.now() - self._request.received_at).total_seconds()
--- a/laburnumhatch/gateway/fingerprint.py
+++ b/laburnumhatch/gateway/fingerprint.py
@@ -30,4 +30,11 @@
 
 def fingerprint_of(request: CallerRequest) -> Fingerprint:
     """Return the fingerprint of a request, `FINGERPRINT_BYTES` long."""
-    return head_of(request) + blake2b(request.body, digest_size=BODY_BYTES).digest()
+    digest = blake2b(digest_size=BODY_BYTES)
+    if request.body.is_streamed:
+        # The body isn't known before it is sent, so its length stands for it.
+        digest.update(b"streamed %d" % request.body.length)
+    else:
+        for part in request.body.kept_parts():
+            digest.update(part)
+    return head_of(request) + digest.digest()
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -13,14 +13,19 @@
 from ..fleet import CallerLimits, Route, TrafficSplitter, Upstream
 from ..placement import Demand, KeyLimiter, LoadTracker, RetryBudget, WorkTimes, reserved_upstreams
 from ..placement.choice import median_service_time
+from ..platform.headers import find_header
+from ..results import Refusal, ResultCode
 from ..telemetry.loop_lag import LoopLagMonitor
-from ..transport import CallerRequest, ConnectionPool
+from ..transport import CallerRequest, ConnectionPool, MemoryBudget
+from ..transport.memory_budget import SMALL_BODY_BYTES
 from ..transport.pool import MAX_IDLE_TIME
 from .crash_guard import CrashGuard
 from .exchange import Exchange
 from .link_monitor import LinkMonitor
 from .metrics import GatewayMetrics
-from .request_log import RequestLog
+from .refusals import refuse
+from .request_log import LoggedTarget, RequestLog
+from .retry_after import MEMORY_RETRY_AFTER
 from .suspended_ranges import SuspendedRanges
 
 __all__ = ["Gateway", "RetryPolicy"]
@@ -60,6 +65,8 @@
     relays : RelayDirectory
     shared_key : callable
         Returns the secret that all instances share.
+    memory : MemoryBudget, optional
+        Bounds the bytes that are held for others.
 
     Attributes
     ----------
@@ -79,6 +86,7 @@
         crash_guard: CrashGuard,
         relays: RelayDirectory,
         shared_key: Callable[[], str],
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._started_at = clock.now()
         self._retry_policy = retry_policy
@@ -98,6 +106,7 @@
         self.crash_guard = crash_guard
         self.relays = relays
         self.shared_key = shared_key
+        self.memory = memory or MemoryBudget()
         self.service_splitter = TrafficSplitter()
         self.work_times = WorkTimes()
         self.key_limiter = KeyLimiter()
@@ -153,6 +162,17 @@
         """Start to process a request that another instance has passed on."""
         self._handle(Exchange(self, request, is_relayed=True))
 
+    def refuse_for_memory(self, request: CallerRequest) -> None:
+        """Refuse a request whose body isn't received, because it doesn't fit into the memory."""
+        declared = int(find_header(request.fields, b"content-length") or 0)
+        is_long = max(declared, request.body.received_bytes) > SMALL_BODY_BYTES
+        self.metrics.memory_refusals["long" if is_long else "short"] += 1
+        retry_after = MEMORY_RETRY_AFTER * (0.75 + 0.5 * self.random.random())
+        detail = f"{self.memory.total} bytes are held"
+        refusal = Refusal(ResultCode.MEMORY_FULL, detail, retry_after=retry_after)
+        self.request_log.log_refusal(request, LoggedTarget("", "", None), refusal)
+        refuse(request, refusal)
+
     def _handle(self, exchange: Exchange) -> None:
         self._exchanges.add(exchange)
         try:
--- a/laburnumhatch/gateway/metrics.py
+++ b/laburnumhatch/gateway/metrics.py
@@ -44,6 +44,9 @@
         Number of attempts by service and outcome.
     relayed : Counter of (str, str)
         Number of requests passed on to other instances, by service and result.
+    memory_refusals : Counter of str
+        Number of requests refused for want of memory, by whether their body is ``long`` or
+        ``short``.
     latencies : dict of str to Histogram
         Time from the header of a request to its final answer, by service.
     owner_waits : dict of str to Histogram
@@ -53,6 +56,7 @@
     requests: Counter[tuple[str, str]] = field(default_factory=Counter)
     attempts: Counter[tuple[str, str]] = field(default_factory=Counter)
     relayed: Counter[tuple[str, str]] = field(default_factory=Counter)
+    memory_refusals: Counter[str] = field(default_factory=Counter)
     latencies: dict[str, Histogram] = field(default_factory=dict)
     owner_waits: dict[str, Histogram] = field(default_factory=dict)
 
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from ..transport import CallerRequest
+from ..transport import CallerRequest, HeldKind
 from .gateway import Gateway
 from .metrics import LATENCY_BOUNDS_S, Histogram
 
@@ -55,6 +55,13 @@
     for (service, result), count in sorted(metrics.relayed.items()):
         labels = f'service="{service}",result="{result}"'
         lines.append(f"laburnumhatch_relayed_total{{{labels}}} {count}")
+    lines.append("# TYPE laburnumhatch_held_bytes gauge")
+    for kind in HeldKind:
+        held = gateway.memory.held[kind]
+        lines.append(f'laburnumhatch_held_bytes{{for="{kind.value}"}} {held}')
+    lines.append("# TYPE laburnumhatch_memory_refusals_total counter")
+    for size, count in sorted(metrics.memory_refusals.items()):
+        lines.append(f'laburnumhatch_memory_refusals_total{{body="{size}"}} {count}')
     lines += _histogram_lines("laburnumhatch_request_seconds", metrics.latencies)
     lines += _histogram_lines("laburnumhatch_owner_wait_seconds", metrics.owner_waits)
     lines.append("# TYPE laburnumhatch_retry_budget_left gauge")
--- a/laburnumhatch/gateway/peer_call.py
+++ b/laburnumhatch/gateway/peer_call.py
@@ -72,7 +72,7 @@
         self._is_ended = False
         self._is_sealed = False
         self.peer = peer
-        self.relay = ResponseRelay(request)
+        self.relay = ResponseRelay(request, gateway.memory)
         self.was_sent = False
         self.reason = ""
 
--- a/laburnumhatch/gateway/relay.py
+++ b/laburnumhatch/gateway/relay.py
@@ -1,6 +1,6 @@
 """Relay of an upstream's response to the caller."""
 
-from ..transport import CallerRequest
+from ..transport import CallerRequest, HeldKind, MemoryBudget
 from ..transport.fields import HeaderFields, end_to_end_fields
 from ..transport.outbound import OutboundConnection
 from .answers import AttemptOutcome, OutcomeKind
@@ -18,6 +18,8 @@
     Parameters
     ----------
     request : CallerRequest
+    memory : MemoryBudget
+        Counts what is held back. While it is short, nothing is.
 
     Attributes
     ----------
@@ -30,8 +32,9 @@
         Length of the body of a response that isn't delivered.
     """
 
-    def __init__(self, request: CallerRequest) -> None:
+    def __init__(self, request: CallerRequest, memory: MemoryBudget) -> None:
         self._request = request
+        self._memory = memory
         self._fields: HeaderFields = []
         self._length: int | None = None
         self._buffer = bytearray()
@@ -62,7 +65,8 @@
             self._request.write(data)
         elif self.is_deliverable:
             self._buffer += data
-            if len(self._buffer) > MAX_BUFFERED_BYTES:
+            self._memory.add(HeldKind.ANSWER, len(data))
+            if len(self._buffer) > MAX_BUFFERED_BYTES or not self._memory.may_hold_answers:
                 self._start_streaming(connection)
         else:
             self.discarded_bytes += len(data)
@@ -73,8 +77,14 @@
             self._request.end()
         else:
             body = bytes(self._buffer)
+            self.release()
             self._request.respond(self.status, end_to_end_fields(self._fields), body)
 
+    def release(self) -> None:
+        """Drop what is held back."""
+        self._memory.remove(HeldKind.ANSWER, len(self._buffer))
+        self._buffer = bytearray()
+
     def abort_response(self) -> None:
         """Abort a streamed response, so that the caller doesn't take it for a complete one."""
         self._request.abort_response()
@@ -83,6 +93,6 @@
         self.is_streaming = True
         self._request.begin(self.status, end_to_end_fields(self._fields), self._length)
         self._request.write(bytes(self._buffer))
-        self._buffer.clear()
+        self.release()
         if connection is not None:
             self._request.throttle(connection.pause, connection.resume)
--- a/laburnumhatch/gateway/retry_after.py
+++ b/laburnumhatch/gateway/retry_after.py
@@ -6,6 +6,7 @@
     "DECLINED_RETRY_AFTER",
     "HOT_KEY_RETRY_AFTER",
     "LIMITED_RETRY_AFTER",
+    "MEMORY_RETRY_AFTER",
     "NO_CONFIGURATION_RETRY_AFTER",
     "NO_OWNER_RETRY_AFTER",
     "OWNER_LOST_RETRY_AFTER",
@@ -26,3 +27,6 @@
 # an upstream with a limit move to others within about this time.
 LIMITED_RETRY_AFTER = milliseconds(500)
 NO_CONFIGURATION_RETRY_AFTER = milliseconds(500)
+# Retry-After for a request that doesn't fit into the memory: others need about this time to be
+# received, sent and answered.
+MEMORY_RETRY_AFTER = milliseconds(500)
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -11,6 +11,10 @@
 __all__ = ["GatewaySettings", "SettingsError", "parse_address", "read_settings", "strip_comments"]
 
 
+# Memory of the smallest machines of the users.
+DEFAULT_MEMORY_MB = 300.0
+
+
 class SettingsError(ValueError):
     """Raised if the settings are invalid; the message names the file and the field."""
 
@@ -44,6 +48,8 @@
     first_start : bool
         Whether all instances start for the first time. Otherwise the store holds the leader's row,
         or has lost it.
+    memory_mb : float, optional
+        Memory in MiB at which the platform ends the process.
     """
 
     name: str
@@ -63,6 +69,7 @@
     retry_slack: float
     stop_within: str
     first_start: bool
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
@@ -86,6 +93,8 @@
             parse_duration(getattr(settings, field))
         except ValueError as e:
             raise SettingsError(f"{path}: {field}: {e}") from e
+    if not settings.memory_mb > 0:
+        raise SettingsError(f"{path}: memory_mb is not positive")
     for field in ("callers", "readiness", "store"):
         host, _, port = getattr(settings, field).rpartition(":")
         if not host or not port.isdigit():
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -25,7 +25,7 @@
 from ...keyspace import MapRange, OwnershipMap
 from ...placement import LoadTracker
 from ...platform.headers import ATTEMPT_ID, DEADLINE, KEY, NOT_RUN, SEAL
-from ...transport import CallFailure, FailureKind
+from ...transport import CallFailure, FailureKind, RequestBody
 from ..crash_guard import CrashGuard
 from ..gateway import Gateway, RetryPolicy
 
@@ -46,7 +46,8 @@
         request_id=b"a1",
         deadline_ms=2000,
     ):
-        self.method, self.target, self.body = method, path, body
+        self.method, self.target = method, path
+        self.body = body if isinstance(body, RequestBody) else RequestBody.of(body)
         self.fields = [(b"host", b"h.example"), (DEADLINE, b"%d" % deadline_ms), *fields]
         if has_identifier:
             self.fields.append((ATTEMPT_ID, request_id))
@@ -81,9 +82,11 @@
     def end(self):
         assert not self.is_complete
         self.is_complete = True
+        self.body.release()
 
     def abort_response(self):
         self.is_truncated = True
+        self.body.release()
 
     def throttle(self, pause, resume):
         pass
@@ -115,9 +118,13 @@
     def resume(self):
         pass
 
+    def sealed_fields(self):
+        """Return the header fields of an upstream's own answer."""
+        return [(SEAL, b"s"), (ATTEMPT_ID, b"a1")]
+
     def succeed(self, body=b"fine", fields=()):
         """Answer with a sealed success."""
-        self.receiver.on_header(200, [(SEAL, b"s"), (ATTEMPT_ID, b"a1"), *fields], len(body))
+        self.receiver.on_header(200, [*self.sealed_fields(), *fields], len(body))
         self.receiver.on_body(body)
         self.receiver.on_end()
 
@@ -313,10 +320,14 @@
         self.member.ownership_maps["keyed"] = OwnershipMap("keyed", 1, (key_range,))
         self.gateway.refresh()
 
+    def new_request(self, path=b"/safe/x", **options):
+        """Return a caller's request."""
+        fields = ((KEY, b"7"),) if path.startswith(b"/keyed") else ()
+        return FakeRequest(self.clock, path=path, fields=fields, **options)
+
     def send_request(self, path=b"/safe/x", **options):
         """Send a caller's request."""
-        fields = ((KEY, b"7"),) if path.startswith(b"/keyed") else ()
-        request = FakeRequest(self.clock, path=path, fields=fields, **options)
+        request = self.new_request(path, **options)
         self.gateway.handle(request)
         return request
 
--- a/laburnumhatch/gateway/tests/test_lost_links.py
+++ b/laburnumhatch/gateway/tests/test_lost_links.py
@@ -127,7 +127,7 @@
     """Request of one instance as another one receives it."""
 
     def __init__(self, clock, request):
-        super().__init__(clock, request.method, request.target, body=request.body)
+        super().__init__(clock, request.method, request.target, body=bytes(request.body))
         self.fields = list(request.fields)
 
 
--- a/laburnumhatch/gateway/tests/test_request_log.py
+++ b/laburnumhatch/gateway/tests/test_request_log.py
@@ -3,6 +3,8 @@
 import pytest
 
 from ...clocks import milliseconds
+from ..fingerprint import fingerprint_of
+from ..relay import MAX_BUFFERED_BYTES
 from ..request_log import ANSWERED_LINES_BURST, LINES_BURST
 
 
@@ -26,6 +28,22 @@
     assert record.extra["upstream"] == f"u{first - 8000}"
 
 
+@pytest.mark.parametrize("end", ["refused", "failed", "broken off"])
+def test_lines_of_one_request_bear_one_fingerprint(harness, records, end):
+    request = harness.new_request(b"/unsafe/x", body=b"order")
+    fingerprint = fingerprint_of(request).hex()
+    harness.gateway.handle(request)
+    receiver = harness.pool.last.receiver
+    if end == "broken off":
+        receiver.on_header(200, harness.pool.last.sealed_fields(), None)
+        receiver.on_body(b"x" * (MAX_BUFFERED_BYTES + 1))
+    if end == "failed":
+        harness.pool.last.answer(500)
+    else:
+        harness.pool.last.lose_connection()
+    assert records and {record.extra["fingerprint"] for record in records} == {fingerprint}
+
+
 def test_lines_beyond_the_burst_are_dropped_and_counted(harness, records, clock):
     for _ in range(1000):
         harness.send_request(path=b"/none/x")
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -29,7 +29,9 @@
     "retry_slack": 56,
     "stop_within": "6s",
     "first_start": False,
+    "memory_mb": 300,
 }
+OPTIONAL = ["memory_mb"]
 
 
 @pytest.fixture
@@ -51,7 +53,15 @@
 
 @pytest.mark.parametrize(
     ("field", "value"),
-    [("name", None), ("store", "nowhere"), ("longest_hold", "long"), ("stream_port", "3")],
+    [
+        ("name", None),
+        ("store", "nowhere"),
+        ("longest_hold", "long"),
+        ("stream_port", "3"),
+        ("memory_mb", 0),
+        ("memory_mb", -1),
+        ("memory_mb", "much"),
+    ],
 )
 def test_error_names_the_invalid_field(write, field, value):
     with pytest.raises(SettingsError, match=field):
@@ -66,6 +76,14 @@
         read_settings(tmp_path / "absent.json")
 
 
+@pytest.mark.parametrize("field", OPTIONAL)
+def test_settings_of_earlier_builds_are_accepted(write, field):
+    settings = {name: value for name, value in VALID_SETTINGS.items() if name != field}
+    assert read_settings(write(json.dumps(settings))) == read_settings(
+        write(json.dumps(VALID_SETTINGS))
+    )
+
+
 def test_template_contains_every_field():
     names = re.findall(r'^  "(\w+)":', TEMPLATE.read_text(encoding="utf-8"), re.MULTILINE)
     assert sorted(names) == sorted(VALID_SETTINGS)
--- a/laburnumhatch/platform/standin/store.py
+++ b/laburnumhatch/platform/standin/store.py
@@ -169,7 +169,7 @@
         self._answer(request, 200, {"rows": rows, "truncated": len(found) > limit})
 
     def _write(self, request: CallerRequest) -> None:
-        transaction = msgspec.json.decode(request.body, type=_Transaction)
+        transaction = msgspec.json.decode(bytes(request.body), type=_Transaction)
         if any(name.table in READ_ONLY_TABLES for name in (*transaction.put, *transaction.remove)):
             self._answer(request, 403, {})
             return
--- a/laburnumhatch/platform/standin/upstream.py
+++ b/laburnumhatch/platform/standin/upstream.py
@@ -294,7 +294,7 @@
     # Keys.
 
     def _handle_grant(self, request: CallerRequest) -> None:
-        call, arrived_at = msgspec.json.decode(request.body), self.clock.now()
+        call, arrived_at = msgspec.json.decode(bytes(request.body)), self.clock.now()
         if self.random_source.random() < self.faults.late_share:
             delay = timedelta(
                 seconds=self.random_source.uniform(MIN_LATE_DELAY_S, MAX_LATE_DELAY_S)
@@ -317,7 +317,7 @@
         return True
 
     def _handle_release(self, request: CallerRequest) -> None:
-        call = msgspec.json.decode(request.body)
+        call = msgspec.json.decode(bytes(request.body))
         for leased in self._split_ranges(call["from"], call["target"]):
             leased.expires_at = DISTANT_PAST
         token = b"%016x" % self.random_source.getrandbits(64)
@@ -392,7 +392,7 @@
         if key is not None:
             self._running_keys.append(key)
         path = request.target.decode("ascii", "replace")
-        self.observer.on_run_started(self, request_id, path, request.body)
+        self.observer.on_run_started(self, request_id, path, bytes(request.body))
         if path in self.crashing_paths:
             self.clock.call_later(self.run_duration, self._crash_under, path)
             return
--- a/laburnumhatch/results/codes.py
+++ b/laburnumhatch/results/codes.py
@@ -56,6 +56,7 @@
     DEADLINE_UNREACHABLE = (204, 503, RunStatus.NO, "The deadline can't be met")
     DEADLINE_PASSED = (205, 504, RunStatus.NO, "The deadline passed before the request was sent")
     CLAIM_UNAVAILABLE = (206, 503, RunStatus.NO, "The idempotency key can't be claimed now")
+    MEMORY_FULL = (207, 503, RunStatus.NO, "The instance holds all the bytes that it may")
 
     NO_OWNER = (301, 503, RunStatus.NO, "No server owns the key now")
     LEASE_EXPIRED = (302, 503, RunStatus.NO, "The instance holds no lease for the key")
--- a/laburnumhatch/transport/__init__.py
+++ b/laburnumhatch/transport/__init__.py
@@ -1,9 +1,12 @@
 """HTTP/1.1 server connections from callers and client connections to upstreams and the store."""
 
+from .caller_request import CallerRequest
 from .http_caller import CallFailed, HttpCaller, Response
-from .inbound import CallerConnection, CallerFactory, CallerRequest
+from .inbound import CallerConnection, CallerFactory
+from .memory_budget import HeldKind, MemoryBudget, held_bytes_limit
 from .outbound import CallFailure, FailureKind, OutboundRequest, ResponseReceiver
 from .pool import ConnectionPool, PooledCall
+from .request_body import RequestBody
 
 __all__ = [
     "CallFailed",
@@ -13,9 +16,13 @@
     "CallerRequest",
     "ConnectionPool",
     "FailureKind",
+    "HeldKind",
     "HttpCaller",
+    "MemoryBudget",
     "OutboundRequest",
     "PooledCall",
+    "RequestBody",
     "Response",
     "ResponseReceiver",
+    "held_bytes_limit",
 ]
--- a/laburnumhatch/transport/http_caller.py
+++ b/laburnumhatch/transport/http_caller.py
@@ -10,6 +10,7 @@
 from .fields import HeaderFields
 from .outbound import CallFailure, FailureKind, OutboundRequest
 from .pool import ConnectionPool, PooledCall
+from .request_body import RequestBody
 
 __all__ = ["CallFailed", "HttpCaller", "Response"]
 
@@ -156,7 +157,9 @@
             request_fields.insert(0, (b"host", f"{host}:{port}".encode()))
         if body:
             request_fields.append((b"content-type", b"application/json"))
-        request = OutboundRequest(method, target, request_fields, body, matches_response)
+        request = OutboundRequest(
+            method, target, request_fields, RequestBody.of(body), matches_response
+        )
         collector = _ResponseCollector(self._clock, timeout, max_body_bytes)
 
         def make_request() -> OutboundRequest | None:
--- a/laburnumhatch/transport/inbound.py
+++ b/laburnumhatch/transport/inbound.py
@@ -15,16 +15,22 @@
 
 from ..clocks import Cancellable, Clock, Timeout
 from ..fleet import CallerLimits
+from .caller_request import CallerRequest
 from .fields import HeaderFields
+from .memory_budget import BodyHandling, HeldKind, MemoryBudget
 from .outbound import MAX_EVENTS_PER_TURN
+from .request_body import RequestBody
 
-__all__ = ["CallerConnection", "CallerFactory", "CallerRequest"]
+__all__ = ["CallerConnection", "CallerFactory"]
 
 # Bytes of pipelined requests above which reading pauses while a response is pending.
 MAX_PIPELINED_BYTES = 262_144
 # Time after its acceptance for which a connection is not closed as idle by a stopping server: its
 # request is on the way.
 NEW_CONNECTION_GRACE = timedelta(milliseconds=200)
+# Time for which the rest of a body is read and discarded after its request has been answered. To
+# close the connection at once would reset it, and the caller might lose the answer.
+MAX_DISCARD_TIME = timedelta(seconds=2)
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -41,74 +47,6 @@
 _log = logbook.Logger("laburnumhatch.transport")
 
 
-class CallerRequest:
-    """Request of a caller, with methods that send its response.
-
-    Attributes
-    ----------
-    method, target : bytes
-    fields : list of (bytes, bytes)
-        Names are in lower case.
-    body : bytes
-    received_at : timedelta
-        Instant at which the header was complete.
-    on_disconnect : callable
-        Called when the caller closes its connection before the response is complete.
-    """
-
-    def __init__(
-        self, connection: "CallerConnection", request: h11.Request, received_at: timedelta
-    ) -> None:
-        self._connection = connection
-        self.method = bytes(request.method)
-        self.target = bytes(request.target)
-        self.fields: HeaderFields = [(bytes(n), bytes(v)) for n, v in request.headers]
-        self.body = b""
-        self.received_at = received_at
-        self.on_disconnect: Callable[[], None] = lambda: None
-
-    @property
-    def is_open(self) -> bool:
-        """Whether a response can still be sent to the caller."""
-        return self._connection.can_respond_to(self)
-
-    def is_caller_connected(self) -> bool:
-        """Return whether the caller still waits, also if its close hasn't been read yet."""
-        return self.is_open and not self._connection.has_unread_close()
-
-    def respond(self, status: int, fields: HeaderFields, body: bytes) -> None:
-        """Send a complete response."""
-        self.begin(status, fields, len(body))
-        if body:
-            self.write(body)
-        self.end()
-
-    def begin(self, status: int, fields: HeaderFields, length: int | None) -> None:
-        """Send the header of a response, chunked if `length` is None."""
-        if self.is_open:
-            self._connection.begin_response(status, fields, length, self.method)
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the body; a response to ``HEAD`` has none."""
-        if self.is_open and self.method != b"HEAD":
-            self._connection.write_body(data)
-
-    def end(self) -> None:
-        """End the response."""
-        if self.is_open:
-            self._connection.end_response()
-
-    def abort_response(self) -> None:
-        """Reset the connection, so that the caller can't take the response for a complete one."""
-        if self.is_open:
-            self._connection.abort_response()
-
-    def throttle(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
-        """Call `pause` when the caller's connection is congested and `resume` when it isn't."""
-        if self.is_open:
-            self._connection.throttle(pause, resume)
-
-
 @implementer(IPushProducer)
 class CallerConnection(StreamProtocol):
     """HTTP/1.1 connection of a caller; its requests are handled one at a time, in order."""
@@ -121,10 +59,17 @@
         limits = factory.limits()
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
         self._request: CallerRequest | None = None
-        self._body = bytearray()
-        self._body_bytes = 0
+        self._body: RequestBody | None = None
         self._is_response_pending = False
+        # Whether the rest of the body of a request that has been answered is read and discarded.
+        self._is_discarding = False
+        # Whether the caller sends the body only once it has been told to go on.
+        self._is_body_withheld = False
         self._is_closed = False
+        self._is_reading_paused = False
+        # Whether the send buffer is full, and the bytes that have been added to it since.
+        self._is_congested = False
+        self._unsent_bytes = 0
         self._timer: Cancellable | None = None
         self._pause_writer: Callable[[], None] | None = None
         self._resume_writer: Callable[[], None] | None = None
@@ -135,7 +80,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether no part of a request has been received and no response is pending."""
-        return self._request is None and not self._http.trailing_data[0]
+        is_between_requests = self._request is None and not self._is_discarding
+        return is_between_requests and not self._http.trailing_data[0]
 
     def can_respond_to(self, request: CallerRequest) -> bool:
         """Return whether a response to `request` can still be sent."""
@@ -172,10 +118,12 @@
         """Call `on_disconnect` of the pending request."""
         self._is_closed = True
         self._clear_timer()
+        self._count_unsent(-self._unsent_bytes)
         self.factory.remove(self)
         request, self._request = self._request, None
         if request is not None and self._is_response_pending:
             request.on_disconnect()
+        self._release_body()
 
     def dataReceived(self, data: bytes) -> None:
         """Parse bytes of a request."""
@@ -188,8 +136,6 @@
         except h11.RemoteProtocolError as e:
             self._reject(e.error_status_hint, str(e))
             return
-        if self._has_too_many_pipelined_bytes():
-            self.transport.pauseProducing()
         self._process_events()
 
     def begin_response(
@@ -201,7 +147,7 @@
             response_fields.append((b"content-length", b"%d" % length))
         elif method != b"HEAD":
             response_fields.append((b"transfer-encoding", b"chunked"))
-        if self.factory.is_stopping:
+        if self.factory.is_stopping or self._http.their_state is h11.SEND_BODY:
             response_fields.append((b"connection", b"close"))
         reason = REASON_PHRASES.get(status, b"")
         self._write(h11.Response(status_code=status, headers=response_fields, reason=reason))
@@ -216,34 +162,42 @@
         self._request = None
         self._is_response_pending = False
         self._pause_writer = self._resume_writer = None
+        self._release_body()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._set_timer(self.factory.limits().idle_timeout, self._on_idle_timeout)
-            self.transport.resumeProducing()
             if not self._is_parsing:
                 self._process_events()
         else:
-            self._close()
+            self._close_after_body()
 
     def abort_response(self) -> None:
         """Reset the connection."""
         self._is_closed = True
         self._clear_timer()
+        self._release_body()
         self.transport.abortConnection()
 
     def throttle(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
         """Call `pause` when the send buffer is full and `resume` when it has drained."""
         self._pause_writer, self._resume_writer = pause, resume
+        if self._is_congested:
+            pause()
 
     def pauseProducing(self) -> None:
         """Pause the writer of the response."""
+        self._is_congested = True
         if self._pause_writer is not None:
             self._pause_writer()
 
     def resumeProducing(self) -> None:
-        """Resume the writer of the response."""
+        """Resume the writer of the response, or go on with the next request."""
+        self._is_congested = False
+        self._count_unsent(-self._unsent_bytes)
         if self._resume_writer is not None:
             self._resume_writer()
+        elif not self._is_parsing:
+            self._process_events()
 
     def stopProducing(self) -> None:
         """Do nothing; Twisted calls `connectionLost` afterwards."""
@@ -254,75 +208,130 @@
         if self.is_idle and not self._is_closed and not is_new and not self._has_unread_bytes():
             self._close()
 
-    def _has_too_many_pipelined_bytes(self) -> bool:
+    def _update_reading(self) -> None:
+        if self._is_closed:
+            return
+        should_pause = self._is_turn_scheduled or self._must_wait() or self._has_too_much_input()
+        if should_pause != self._is_reading_paused:
+            self._is_reading_paused = should_pause
+            if should_pause:
+                self.transport.pauseProducing()
+            else:
+                self.transport.resumeProducing()
+
+    def _must_wait(self) -> bool:
+        """Return whether the next request has to wait until its caller has read some answers."""
+        return self._is_congested and self._request is None and not self._is_discarding
+
+    def _has_too_much_input(self) -> bool:
+        if self._body is not None and self._body.is_congested:
+            return True
         return self._is_response_pending and len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
 
-    def _schedule_turn(self) -> None:
-        """Parse on in the next iteration of the event loop, and read nothing until then."""
-        self.transport.pauseProducing()
-        if not self._is_turn_scheduled:
-            self._is_turn_scheduled = True
-            self.factory.clock.call_later(timedelta(), self._take_turn)
-
     def _take_turn(self) -> None:
         self._is_turn_scheduled = False
-        if self._is_closed:
-            return
-        if not self._has_too_many_pipelined_bytes():
-            self.transport.resumeProducing()
         self._process_events()
 
     def _process_events(self) -> None:
         """Handle what can be parsed, in several turns if it is much."""
+        if self._is_closed or self._is_turn_scheduled:
+            return
         self._is_parsing = True
-        event_count = 0
         try:
-            while not self._is_closed:
-                if event_count == MAX_EVENTS_PER_TURN:
-                    self._schedule_turn()
-                    return
-                event = self._http.next_event()
-                event_count += 1
-                if event is h11.NEED_DATA:
-                    self._continue_if_expected()
-                    return
-                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                    return
-                if not self._handle_event(event):
-                    return
+            self._handle_events()
         except h11.RemoteProtocolError as e:
             self._reject(e.error_status_hint, str(e))
         finally:
             self._is_parsing = False
+        self._update_reading()
 
-    def _handle_event(self, event: Any) -> bool:
-        limits = self.factory.limits()
+    def _handle_events(self) -> None:
+        event_count = 0
+        while not self._is_closed and not self._must_wait():
+            if event_count == MAX_EVENTS_PER_TURN:
+                self._schedule_turn()
+                return
+            event = self._http.next_event()
+            event_count += 1
+            if event is h11.NEED_DATA:
+                self._continue_if_expected()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            self._handle_event(event)
+
+    def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
-            self._request = CallerRequest(self, event, self.factory.clock.now())
-            self._body, self._body_bytes = bytearray(), 0
-            self._set_timer(limits.idle_timeout, self._on_request_timeout)
-            error = _find_request_error(self._request, limits)
-            if error is not None:
-                self._reject(*error)
-                return False
+            self._begin_request(event)
         elif isinstance(event, h11.Data):
-            self._body += event.data
-            self._body_bytes += len(event.data)
-            if self._body_bytes > limits.max_body_bytes:
-                self._reject(413, "the body is too large")
-                return False
+            if not self._is_discarding:
+                self._receive_part(event.data)
         elif isinstance(event, h11.EndOfMessage):
-            request = self._request
-            assert request is not None
-            request.body = bytes(self._body)
-            self._body = bytearray()
-            self._clear_timer()
-            self._is_response_pending = True
-            self.factory.handle(request)
-        return True
+            self._end_body()
+
+    def _begin_request(self, event: h11.Request) -> None:
+        limits, memory = self.factory.limits(), self.factory.memory
+        request = self._request = CallerRequest(self, event, self.factory.clock.now())
+        self._is_body_withheld = self._http.they_are_waiting_for_100_continue
+        self._set_timer(limits.idle_timeout, self._on_request_timeout)
+        error = _find_request_error(request, limits)
+        if error is not None:
+            self._reject(*error)
+            return
+        length = _body_length(request.fields)
+        handling = memory.choose_handling(length)
+        if handling is BodyHandling.REFUSE:
+            self.factory.refuse(request)
+            return
+        if length == 0:
+            return
+        is_streamed = handling is BodyHandling.STREAM
+        request.body = self._body = RequestBody(length, memory, is_streamed=is_streamed)
+        if is_streamed:
+            self._body.on_space = self._schedule_turn
+            self._handle_request()
+
+    def _receive_part(self, data: bytes) -> None:
+        body, request = self._body, self._request
+        assert body is not None and request is not None
+        if body.received_bytes + len(data) > self.factory.limits().max_body_bytes:
+            self._reject(413, "the body is too large")
+        elif not body.append(data):
+            self.factory.refuse(request)
+
+    def _end_body(self) -> None:
+        if self._is_discarding:
+            self._close()
+            return
+        if self._body is not None:
+            self._body.complete()
+        if not self._is_response_pending:
+            self._handle_request()
+
+    def _handle_request(self) -> None:
+        assert self._request is not None
+        self._clear_timer()
+        self._is_response_pending = True
+        self.factory.handle(self._request)
+
+    def _release_body(self) -> None:
+        body, self._body = self._body, None
+        if body is not None:
+            body.release()
+
+    def _schedule_turn(self) -> None:
+        """Read and parse on in the next iteration of the event loop."""
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self.factory.clock.call_later(timedelta(), self._take_turn)
+
+    def _count_unsent(self, change: int) -> None:
+        self._unsent_bytes += change
+        self.factory.memory.add(HeldKind.UNSENT, change)
 
     def _continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
+            self._is_body_withheld = False
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _write(self, event: Any) -> None:
@@ -335,6 +344,8 @@
             return
         if content:
             self.transport.write(content)
+            if self._is_congested:
+                self._count_unsent(len(content))
 
     def _reject(self, status: int, reason: str) -> None:
         self._request = None
@@ -349,11 +360,21 @@
             )
             self._write(h11.Data(data=body))
             self._write(h11.EndOfMessage())
-        self._close()
+        self._release_body()
+        self._close_after_body()
+
+    def _close_after_body(self) -> None:
+        """Close the connection, after the rest of a body that is on its way."""
+        if self._http.their_state is h11.SEND_BODY and not self._is_body_withheld:
+            self._is_discarding = True
+            self._set_timer(MAX_DISCARD_TIME, self._close)
+        else:
+            self._close()
 
     def _close(self) -> None:
+        """Close the connection once what has been written is sent."""
         self._is_closed = True
-        self._clear_timer()
+        self._set_timer(self.factory.limits().idle_timeout, self.transport.abortConnection)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
@@ -387,6 +408,10 @@
         Called with each complete `CallerRequest`.
     limits : callable
         Returns the current `CallerLimits`.
+    memory : MemoryBudget, optional
+        Bounds the bytes that are held for callers; without one, they aren't bounded.
+    refuse : callable, optional
+        Answers a `CallerRequest` whose body doesn't fit into the memory. Required with `memory`.
 
     Attributes
     ----------
@@ -403,10 +428,14 @@
         clock: Clock,
         handle: Callable[[CallerRequest], None],
         limits: Callable[[], CallerLimits],
+        memory: MemoryBudget | None = None,
+        refuse: Callable[[CallerRequest], None] = lambda request: None,
     ) -> None:
         self.clock = clock
         self.handle = handle
         self.limits = limits
+        self.memory = memory or MemoryBudget()
+        self.refuse = refuse
         self._accepted_count = 0
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
@@ -448,3 +477,13 @@
     if lengths and int(lengths[0]) > limits.max_body_bytes:
         return 413, "the body is too large"
     return None
+
+
+def _body_length(fields: HeaderFields) -> int | None:
+    """Return the length of a request's body, or None if it is not known before its end."""
+    for name, value in fields:
+        if name == b"content-length":
+            return int(value)
+        if name == b"transfer-encoding":
+            return None
+    return 0
--- /dev/null
+++ b/laburnumhatch/transport/memory_budget.py
@@ -0,0 +1,143 @@
+"""Budget of the memory that a process holds on behalf of others."""
+
+from collections import Counter
+from enum import Enum, StrEnum
+
+__all__ = ["BodyHandling", "HeldKind", "MemoryBudget", "held_bytes_limit"]
+
+MEBIBYTE = 1_048_576
+# Memory of a process that holds nothing for others, with what its libraries need under load.
+BASE_BYTES = 40 * MEBIBYTE
+# Share of the machine's memory that the process may use with all that it holds; the rest covers
+# copies in passing and what the allocator can't reuse.
+USABLE_SHARE = 0.5
+# Share of the machine's memory that may be held in any case.
+MIN_SHARE = 0.05
+# Bodies up to this length may use the whole budget. Longer ones may use only a share of it, and a
+# somewhat larger one with those that are streamed, so that small requests are served whatever the
+# long ones hold.
+SMALL_BODY_BYTES = 65_536
+KEPT_LONG_BODIES_SHARE = 0.75
+LONG_BODIES_SHARE = 0.9
+# Memory for a body that is forwarded while it arrives: what is received and not yet sent, and what
+# the socket hasn't taken yet.
+STREAM_WINDOW_BYTES = 262_144
+# Share of the budget above which answers are forwarded as they arrive, instead of being held back
+# until they are complete.
+ANSWERS_SHARE = 0.5
+
+
+class HeldKind(StrEnum):
+    """What bytes are held for."""
+
+    SMALL_BODY = "small request bodies"
+    LONG_BODY = "long request bodies"
+    STREAMED_BODY = "streamed request bodies"
+    ANSWER = "answers"
+    UNSENT = "unsent answers"
+
+
+class BodyHandling(Enum):
+    """What happens to the body of a request."""
+
+    # It is received as a whole before the request is handled, so the request can be sent again.
+    KEEP = "keep"
+    # It is forwarded while it arrives.
+    STREAM = "stream"
+    REFUSE = "refuse"
+
+
+def held_bytes_limit(memory_bytes: float) -> int:
+    """Return how much a process may hold on behalf of others.
+
+    Parameters
+    ----------
+    memory_bytes : float
+        Memory of the process at which the platform ends it.
+
+    Examples
+    --------
+    >>> held_bytes_limit(300 * 1_048_576) // 1_048_576
+    110
+    """
+    usable = memory_bytes * USABLE_SHARE - BASE_BYTES
+    return int(max(usable, memory_bytes * MIN_SHARE))
+
+
+class MemoryBudget:
+    """Bytes that the process holds on behalf of others, and what it takes on besides.
+
+    Parameters
+    ----------
+    limit : int or None
+        Bytes that may be held in all; None for no limit.
+
+    Attributes
+    ----------
+    limit : int or None
+    total : int
+        Bytes that are held now.
+    held : Counter of HeldKind
+        Bytes that are held now, by kind.
+    """
+
+    def __init__(self, limit: int | None = None) -> None:
+        self.limit = limit
+        self.total = 0
+        self.held: Counter[HeldKind] = Counter()
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing more may be taken on."""
+        return self.limit is not None and self.total >= self.limit
+
+    @property
+    def may_hold_answers(self) -> bool:
+        """Whether answers may be held back until they are complete."""
+        return self.limit is None or self.total < self.limit * ANSWERS_SHARE
+
+    def choose_handling(self, length: int | None) -> BodyHandling:
+        """Decide what happens to the body of a request.
+
+        Parameters
+        ----------
+        length : int or None
+            Length of the body; None if it is not known before its end.
+
+        Notes
+        -----
+        A body that can't be kept is streamed rather than refused. An upstream then runs the request
+        for as long as the caller takes to send the body, so bodies are kept where that is possible.
+        """
+        size = length or 0
+        if self.may_grow(0, size):
+            return BodyHandling.KEEP
+        if size > STREAM_WINDOW_BYTES and self._fits(STREAM_WINDOW_BYTES, LONG_BODIES_SHARE):
+            return BodyHandling.STREAM
+        return BodyHandling.REFUSE
+
+    def may_grow(self, size: int, growth: int) -> bool:
+        """Return whether a kept body, of which `size` bytes are held, may grow."""
+        if self.limit is None:
+            return True
+        if size + growth <= SMALL_BODY_BYTES:
+            return self.total + growth <= self.limit
+        # From its first long part on, the whole body counts as a long one.
+        long_growth = growth if size > SMALL_BODY_BYTES else size + growth
+        return self._fits(long_growth, KEPT_LONG_BODIES_SHARE)
+
+    def add(self, kind: HeldKind, size: int) -> None:
+        """Count bytes that are held from now on."""
+        self.held[kind] += size
+        self.total += size
+
+    def remove(self, kind: HeldKind, size: int) -> None:
+        """Count bytes that are no longer held."""
+        self.add(kind, -size)
+
+    def _fits(self, size: int, share: float) -> bool:
+        """Return whether long bodies may use further bytes, within a share of the budget."""
+        if self.limit is None:
+            return True
+        long_bodies = self.held[HeldKind.LONG_BODY] + self.held[HeldKind.STREAMED_BODY]
+        return self.total + size <= self.limit and long_bodies + size <= self.limit * share
--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -15,7 +15,9 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from .body_writer import BodyWriter
 from .fields import HeaderFields
+from .request_body import PART_BYTES, RequestBody
 
 __all__ = [
     "CallFailure",
@@ -26,6 +28,7 @@
 ]
 
 MAX_RESPONSE_HEADER_BYTES = 65_536
+METHODS_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
 # Bounds of what is read and discarded before the response: interim (1xx) responses, and bodies of
 # responses to other requests.
 MAX_INTERIM_RESPONSES = 16
@@ -85,7 +88,7 @@
     method, target : bytes
     fields : list of (bytes, bytes)
         Header fields without those that frame the body.
-    body : bytes
+    body : RequestBody
     matches_response : callable
         Takes the status and the header fields of a response and returns whether it belongs to
         this request. A response that doesn't is read and discarded.
@@ -94,7 +97,7 @@
     method: bytes
     target: bytes
     fields: HeaderFields
-    body: bytes
+    body: RequestBody
     matches_response: Callable[[int, HeaderFields], bool]
 
 
@@ -176,6 +179,7 @@
         self._http: h11.Connection | None = None
         self._request: OutboundRequest | None = None
         self._receiver: ResponseReceiver | None = None
+        self._writer: BodyWriter | None = None
         self._is_mismatched = False
         self._interim_count = 0
         self._discarded_bytes = 0
@@ -205,8 +209,21 @@
         self._request = request
         self._receiver = receiver
         self._interim_count = self._discarded_bytes = 0
-        self._http, content = _start_cycle(request)
-        self.transport.write(content)
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES)
+        fields = list(request.fields)
+        if request.body.length or request.method not in METHODS_WITHOUT_BODY:
+            fields.append((b"content-length", b"%d" % request.body.length))
+        head = h11.Request(method=request.method, target=request.target, headers=fields)
+        content = [self._http.send(head)]
+        self._writer = None
+        if request.body.length <= PART_BYTES and not request.body.is_streamed:
+            content += [self._http.send(_data(part)) for part in request.body.kept_parts()]
+            self._http.send(h11.EndOfMessage())
+        else:
+            self._writer = BodyWriter(self.transport, self._http, request.body)
+        self.transport.writeSequence(content)
+        if self._writer is not None:
+            self._writer.start()
         # Otherwise Twisted would write in the next iteration of the event loop, when a lease that
         # the request depends on may have expired.
         self.transport.doWrite()
@@ -291,6 +308,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Complete a response that ends with the connection, or report its loss."""
         self._is_closed = True
+        self._cancel_writer()
         if self._has_unparsed_bytes and self._receiver is not None:
             self._parse(None)
         if self._receiver is not None and reason.check(ConnectionDone):
@@ -300,7 +318,13 @@
             self._fail(CallFailure(FailureKind.LOST, False, reason.getErrorMessage()))
         self._on_closed(self)
 
+    def _cancel_writer(self) -> None:
+        if self._writer is not None:
+            self._writer.cancel()
+            self._writer = None
+
     def _reset(self) -> None:
+        self._cancel_writer()
         if not self._is_closed:
             self._is_resetting = True
             self.transport.abortConnection()
@@ -397,14 +421,17 @@
         if self._http.their_state is not h11.DONE:
             raise h11.RemoteProtocolError("an answer to another request ended the connection")
         self._is_mismatched = False
-        self._http, _ = _start_cycle(request)
+        self._http = _state_after_sending(request)
         if trailing:
             self._http.receive_data(trailing)
 
     def _complete(self, receiver: ResponseReceiver) -> None:
         http = self._http
         assert http is not None
-        is_cycle_complete = http.our_state is h11.DONE and http.their_state is h11.DONE
+        is_request_sent = self._writer is None or self._writer.is_finished
+        is_cycle_complete = (
+            is_request_sent and http.our_state is h11.DONE and http.their_state is h11.DONE
+        )
         has_extra_bytes = bool(http.trailing_data[0])
         self._receiver = self._request = self._http = None
         if is_cycle_complete and not has_extra_bytes and not self._is_closed:
@@ -424,18 +451,17 @@
         return f"{address.host}:{address.port}"
 
 
-def _start_cycle(request: OutboundRequest) -> tuple[h11.Connection, bytes]:
-    """Return the HTTP state of a connection that has sent a request and the bytes to write."""
+def _state_after_sending(request: OutboundRequest) -> h11.Connection:
+    """Return the HTTP state of a connection on which a request has been sent."""
     http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES)
-    fields = list(request.fields)
-    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-        fields.append((b"content-length", b"%d" % len(request.body)))
-    content = http.send(h11.Request(method=request.method, target=request.target, headers=fields))
-    assert content is not None
-    if request.body:
-        content += http.send(h11.Data(data=request.body)) or b""
-    content += http.send(h11.EndOfMessage()) or b""
-    return http, content
+    # Which response belongs to a request depends on its method, not on its body.
+    http.send(h11.Request(method=request.method, target=request.target, headers=[(b"host", b"")]))
+    http.send(h11.EndOfMessage())
+    return http
+
+
+def _data(part: bytes | bytearray) -> h11.Data:
+    return h11.Data(data=part)  # type: ignore[arg-type]
 
 
 def _content_length(fields: HeaderFields) -> int | None:
--- a/laburnumhatch/transport/tests/conftest.py
+++ b/laburnumhatch/transport/tests/conftest.py
@@ -6,6 +6,7 @@
 from twisted.python.failure import Failure
 
 from ..outbound import OutboundConnection, OutboundRequest
+from ..request_body import RequestBody
 
 
 class FakeSocket:
@@ -43,6 +44,33 @@
         super().abortConnection()
 
 
+class SlowTransport(FakeTransport):
+    """In-memory TCP transport whose peer reads only when a test lets it."""
+
+    BUFFER_BYTES = 65_536
+
+    def __init__(self):
+        super().__init__()
+        self.unread_bytes = self.most_unread_bytes = 0
+        self.is_producer_paused = False
+
+    def write(self, data):
+        super().write(data)
+        self.unread_bytes += len(data)
+        self.most_unread_bytes = max(self.most_unread_bytes, self.unread_bytes)
+        if self.producer is not None and self.unread_bytes > self.BUFFER_BYTES:
+            self.is_producer_paused = True
+            self.producer.pauseProducing()
+
+    def let_peer_read(self):
+        """Let the peer read everything; return whether the producer was paused."""
+        self.unread_bytes = 0
+        was_paused, self.is_producer_paused = self.is_producer_paused, False
+        if was_paused and self.producer is not None:
+            self.producer.resumeProducing()
+        return was_paused
+
+
 class Recorder:
     """Receiver that records the response or the failure."""
 
@@ -70,11 +98,11 @@
 class FakeUpstream:
     """Peer of an outbound connection."""
 
-    def __init__(self):
+    def __init__(self, transport=None):
         self.idle = []
         self.closed = []
         self.turns = []
-        self.transport = FakeTransport()
+        self.transport = transport or FakeTransport()
         self.connection = OutboundConnection(
             self.idle.append, self.closed.append, self.turns.append
         )
@@ -87,7 +115,7 @@
             method,
             b"/x",
             [(b"host", b"h"), (b"id", request_id), *fields],
-            body,
+            body if isinstance(body, RequestBody) else RequestBody.of(body),
             lambda status, fields: (b"id", request_id) in fields,
         )
         self.connection.send(request, recorder)
@@ -119,6 +147,18 @@
     return FakeUpstream()
 
 
+@pytest.fixture
+def slow_upstream():
+    """Return an upstream that reads requests only when a test lets it."""
+    return FakeUpstream(SlowTransport())
+
+
+@pytest.fixture
+def slow_transport():
+    """Return an in-memory transport whose peer reads only when a test lets it."""
+    return SlowTransport()
+
+
 @pytest.fixture
 def new_transport():
     """Return a function that creates in-memory TCP transports."""
--- a/laburnumhatch/transport/tests/test_connection_ends.py
+++ b/laburnumhatch/transport/tests/test_connection_ends.py
@@ -18,6 +18,7 @@
 from ..inbound import CallerFactory
 from ..outbound import FailureKind, OutboundConnection, OutboundRequest
 from ..pool import ConnectionPool
+from ..request_body import RequestBody
 from .conftest import Recorder
 
 HEAD = b"HTTP/1.1 200 OK\r\nid: a1\r\n"
@@ -117,7 +118,9 @@
     protocol = OutboundConnection(lambda _: None, closed.append, lambda action: action())
     connection = connect(protocol)
     connection.closed = closed
-    request = OutboundRequest(b"GET", b"/x", [(b"host", b"h")], b"", lambda *_: True)
+    request = OutboundRequest(
+        b"GET", b"/x", [(b"host", b"h")], RequestBody.of(b""), lambda *_: True
+    )
     protocol.send(request, receiver)
     connection.read_request()
     return connection
--- a/laburnumhatch/transport/tests/test_inbound.py
+++ b/laburnumhatch/transport/tests/test_inbound.py
@@ -148,7 +148,7 @@
     )
     assert server.sent().startswith(b"HTTP/1.1 100")
     server.connection.dataReceived(b"abc")
-    assert server.requests[0].body == b"abc"
+    assert bytes(server.requests[0].body) == b"abc"
 
 
 def test_tunnel_is_refused_before_its_request_is_handled(server):
--- a/laburnumhatch/transport/tests/test_pool.py
+++ b/laburnumhatch/transport/tests/test_pool.py
@@ -7,6 +7,7 @@
 from ...clocks import milliseconds
 from ..outbound import OutboundRequest
 from ..pool import CONNECT_TIMEOUT, ConnectionPool
+from ..request_body import RequestBody
 from .conftest import FakeTransport, Recorder
 
 
@@ -31,7 +32,9 @@
 
 
 def make_request():
-    return OutboundRequest(b"GET", b"/", [(b"host", b"h")], b"", lambda status, fields: True)
+    return OutboundRequest(
+        b"GET", b"/", [(b"host", b"h")], RequestBody.of(b""), lambda status, fields: True
+    )
 
 
 def test_most_recently_used_connection_is_reused(pool):
--- a/laburnumhatch/transport/tests/test_turns.py
+++ b/laburnumhatch/transport/tests/test_turns.py
@@ -84,7 +84,7 @@
     assert not requests and not is_reading(connection.transport)
     clock.reactor.advance(0)
     assert len(turns) >= COUNT // MAX_EVENTS_PER_TURN
-    assert requests[0].body == b"x" * COUNT and is_reading(connection.transport)
+    assert bytes(requests[0].body) == b"x" * COUNT and is_reading(connection.transport)
 
 
 def test_pipelined_requests_are_handled_in_turns_and_in_order(clock, handled):
