--- a/laburnumhatch/soak/command.py
+++ b/laburnumhatch/soak/command.py
@@ -2,6 +2,7 @@
 
 import secrets
 import tempfile
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 
 from ..clocks import Clock, ReactorClock, boot_seconds
 from ..entry.numeric_resolver import NumericResolver
+from .production import ProductionBuild, Replacement, extract_build, is_in_history
 from .run import SoakResult, run_soak
 
 __all__ = ["soak"]
@@ -30,7 +32,23 @@
     type=click.Path(path_type=Path),
     help="Directory that keeps the output of the processes.",
 )
-def soak(seeds: tuple[int, ...], seconds: float, fresh: float | None, logs: Path | None) -> None:
+@click.option(
+    "--production", metavar="COMMIT", help="Run instances of a former build beside present ones."
+)
+@click.option(
+    "--replacement",
+    type=click.Choice([r.value for r in Replacement]),
+    default=Replacement.FORWARD.value,
+    help="All begin with the former build, go back to it, or every other one runs it.",
+)
+def soak(
+    seeds: tuple[int, ...],
+    seconds: float,
+    fresh: float | None,
+    logs: Path | None,
+    production: str | None,
+    replacement: str,
+) -> None:
     """Run the daemons under injected faults and check the guarantees.
 
     SEEDS are the seeds of the runs; the same seed produces the same faults.
@@ -38,23 +56,35 @@
     if not seeds and fresh is None:
         raise click.UsageError("give seeds, or --fresh MINUTES")
     duration = timedelta(seconds=seconds)
-    react(lambda r: Deferred.fromCoroutine(_run_seeds(r, seeds, duration, fresh, logs)))
+    with tempfile.TemporaryDirectory() as directory:
+        build = None
+        if production is not None:
+            if not is_in_history(production):
+                raise click.UsageError(f"the repository doesn't hold {production}")
+            build = ProductionBuild(
+                extract_build(production, Path(directory)), Replacement(replacement)
+            )
+        plan = _Plan(seeds, duration, fresh, logs, build)
+        react(lambda r: Deferred.fromCoroutine(_run_seeds(r, plan)))
 
 
-async def _run_seeds(
-    reactor: Any,
-    seeds: tuple[int, ...],
-    duration: timedelta,
-    fresh: float | None,
-    logs: Path | None,
-) -> None:
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    seeds: tuple[int, ...]
+    duration: timedelta
+    fresh_minutes: float | None
+    logs: Path | None
+    production: ProductionBuild | None
+
+
+async def _run_seeds(reactor: Any, plan: _Plan) -> None:
     reactor.installNameResolver(NumericResolver())
     clock = ReactorClock(reactor, boot_seconds)
-    end = clock.now() + timedelta(minutes=fresh or 0)
-    pending_seeds, failed_count, run_count = list(seeds), 0, 0
+    end = clock.now() + timedelta(minutes=plan.fresh_minutes or 0)
+    pending_seeds, failed_count, run_count = list(plan.seeds), 0, 0
     while pending_seeds or clock.now() < end:
         seed = pending_seeds.pop(0) if pending_seeds else secrets.randbits(SEED_BITS)
-        result = await _run_seed(reactor, clock, seed, duration, logs, run_count)
+        result = await _run_seed(reactor, clock, seed, plan, run_count)
         run_count += 1
         failed_count += bool(result.findings)
     click.echo(f"{run_count} runs, {failed_count} with findings")
@@ -63,12 +93,14 @@
 
 
 async def _run_seed(
-    reactor: Any, clock: Clock, seed: int, duration: timedelta, logs: Path | None, run_number: int
+    reactor: Any, clock: Clock, seed: int, plan: _Plan, run_number: int
 ) -> SoakResult:
     with tempfile.TemporaryDirectory() as temporary:
-        directory = Path(temporary) if logs is None else logs / str(seed)
+        directory = Path(temporary) if plan.logs is None else plan.logs / str(seed)
         directory.mkdir(parents=True, exist_ok=True)
-        result = await run_soak(reactor, clock, seed, duration, directory, run_number)
+        result = await run_soak(
+            reactor, clock, seed, plan.duration, directory, run_number, plan.production
+        )
     _print_result(result)
     return result
 
--- a/laburnumhatch/soak/run.py
+++ b/laburnumhatch/soak/run.py
@@ -14,6 +14,7 @@
 from .callers import KINDS
 from .faults import ANNOUNCEMENT_WEIGHTS, FAULT_WEIGHTS, REQUEST_WEIGHTS, Fault
 from .network import reserve_network
+from .production import ProductionBuild
 from .record import Finding
 from .world import World
 
@@ -57,7 +58,13 @@
 
 
 async def run_soak(
-    reactor: Any, clock: Clock, seed: int, duration: timedelta, directory: Path, run_number: int = 0
+    reactor: Any,
+    clock: Clock,
+    seed: int,
+    duration: timedelta,
+    directory: Path,
+    run_number: int = 0,
+    production: ProductionBuild | None = None,
 ) -> SoakResult:
     """Run the daemons under the faults of a seed.
 
@@ -73,6 +80,8 @@
         Directory for the output of the processes.
     run_number : int, optional
         Number of the run in this process, from which its addresses are derived.
+    production : ProductionBuild, optional
+        Former build that some instances run.
     """
     plan = plan_faults(random.Random(seed), duration) + plan_faults(
         random.Random(f"{seed}/announcements"),
@@ -84,17 +93,15 @@
         random.Random(f"{seed}/requests"), duration, REQUEST_WEIGHTS, HARMFUL_REQUESTS_PER_SECOND
     )
     with reserve_network(run_number) as network, ProcessGroup(clock, directory) as processes:
-        world = World(reactor, clock, processes, random.Random(seed + 1), network)
+        world = World(reactor, clock, processes, random.Random(seed + 1), network, production)
         world.start()
         world.start_callers()
         try:
             await _wait_until_served(world, clock.now(), START_TIMEOUT)
-            await gatherResults(
-                [
-                    Deferred.fromCoroutine(_run_fault(world, starts_at, fault))
-                    for starts_at, fault in plan
-                ]
-            )
+            activities = [_run_fault(world, starts_at, fault) for starts_at, fault in plan]
+            if production is not None and production.is_rolled:
+                activities.append(_replace_instances(world, duration))
+            await gatherResults([Deferred.fromCoroutine(a) for a in activities])
             ended_at = clock.now()
             await _wait_until_served(world, ended_at, RECOVERY_TIMEOUT)
             recovery_time = clock.now() - ended_at
@@ -130,6 +137,14 @@
     await fault(world)
 
 
+async def _replace_instances(world: World, duration: timedelta) -> None:
+    """Restart the instances one after the other."""
+    for instance in list(world.instances.values()):
+        await world.sleep(duration / (len(world.instances) + 1))
+        if not instance.start_count:
+            await world.stop_and_restart(instance)
+
+
 async def _wait_until_served(world: World, since: timedelta, timeout: timedelta) -> None:
     """Wait until each instance has served each kind, and record a finding after a timeout."""
     expected = [(name, kind.name) for name in world.instances for kind in KINDS]
--- a/laburnumhatch/soak/world.py
+++ b/laburnumhatch/soak/world.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -28,6 +29,7 @@
 from ..transport import CallerFactory, ConnectionPool, HttpCaller
 from .callers import HOST, KINDS, Callers, Endpoint
 from .checks import GuaranteeChecks, planned_stop_component
+from .production import ProductionBuild
 from .proxy import FaultyProxy, LinkFaults
 from .record import FaultHistory
 
@@ -107,6 +109,8 @@
     random_source : random.Random
     network : str
         First three octets of the addresses, in 127.0.0.0/8.
+    production : ProductionBuild, optional
+        Former build that some instances run.
 
     Attributes
     ----------
@@ -123,8 +127,10 @@
         processes: ProcessGroup,
         random_source: random.Random,
         network: str,
+        production: ProductionBuild | None = None,
     ) -> None:
         self._reactor = reactor
+        self._production = production
         self._processes = processes
         self._network = network
         self._listening_ports: list[Any] = []
@@ -328,7 +334,9 @@
     def _restart(self, instance: Instance) -> None:
         instance.start_count += 1
         instance.settings["first_start"] = False
-        instance.child = self._launch(instance.name, instance.settings)
+        number = list(self.instances).index(instance.name)
+        directory = self._build_directory(number, instance.start_count)
+        instance.child = self._launch(instance.name, instance.settings, directory)
         instance.launched_at = self.clock.now()
         instance.should_run = True
 
@@ -355,15 +363,24 @@
             "stop_within": f"{STOP_TIMEOUT.total_seconds():g}s",
             "first_start": True,
         }
-        child = self._launch(name, settings)
+        child = self._launch(name, settings, self._build_directory(number, 0))
         self.instances[name] = Instance(
             name, host, child, settings, store_link, caller_link, self.clock.now()
         )
 
-    def _launch(self, name: str, settings: Mapping[str, Any]) -> ChildProcess:
+    def _build_directory(self, number: int, start_count: int) -> Path | None:
+        if self._production is None:
+            return None
+        return self._production.directory_for(number, start_count)
+
+    def _launch(
+        self, name: str, settings: Mapping[str, Any], directory: Path | None
+    ) -> ChildProcess:
         path = self._processes.directory / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        return self._processes.launch(name, str(path), module="laburnumhatch.gateway")
+        return self._processes.launch(
+            name, str(path), module="laburnumhatch.gateway", directory=directory
+        )
 
     def _copy_store(self) -> None:
         self.store_copies.append(self.store.copy())
--- a/laburnumhatch/standins/processes.py
+++ b/laburnumhatch/standins/processes.py
@@ -125,15 +125,29 @@
         for child in self.children:
             child.kill()
 
-    def launch(self, name: str, *arguments: str, module: str = "laburnumhatch") -> ChildProcess:
-        """Start ``python -m MODULE ARGUMENTS``, without waiting for its end."""
+    def launch(
+        self,
+        name: str,
+        *arguments: str,
+        module: str = "laburnumhatch",
+        directory: Path | None = None,
+    ) -> ChildProcess:
+        """Start ``python -m MODULE ARGUMENTS``, without waiting for its end.
+
+        A directory is the working directory, whose packages go before those that are installed.
+        """
         number = len(self.children)
         stdout = self.directory / f"{number}-{name}.out"
         stderr = self.directory / f"{number}-{name}.err"
         command = [sys.executable, "-m", module, *arguments]
         with stdout.open("wb") as out, stderr.open("wb") as err:
             process = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=out, stderr=err, env=os.environ
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+                env=os.environ,
+                cwd=directory,
             )
         child = ChildProcess(name, process, stdout, stderr)
         self.children.append(child)
