--- a/laburnumhatch/gateway/tests/format_samples.py
+++ b/laburnumhatch/gateway/tests/format_samples.py
@@ -70,8 +70,9 @@
     if field_type in SCALARS:
         return SCALARS[field_type]
     if is_dataclass(field_type):
-        hints = get_type_hints(field_type)
-        return field_type(*(_sample(hints[field.name]) for field in fields(field_type)))
+        dataclass_type: Any = field_type
+        hints = get_type_hints(dataclass_type)
+        return dataclass_type(*(_sample(hints[f.name]) for f in fields(dataclass_type)))
     if get_origin(field_type) is tuple:
         return (_sample(get_args(field_type)[0]),)
     (present,) = (t for t in get_args(field_type) if t is not types.NoneType)
