Accept upload routes, and treat unknown route types as at most once

Change: "upload" runs at most once and has large bodies. A type that is not known is treated like it, with one warning for each decoded version and a gauge of such routes; the other routes hold. Any other invalid value rejects the whole document as before.

--- a/laburnumhatch/fleet/routes.py
+++ b/laburnumhatch/fleet/routes.py
@@ -1,9 +1,10 @@
 """Routes and services of one version of the configuration."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from itertools import chain
 
 __all__ = [
     "CallerLimits",
@@ -42,7 +43,7 @@
         Path prefix, which begins and ends with a slash.
     delivery_semantics : DeliverySemantics
     is_bulky : bool
-        Whether answers are large.
+        Whether answers or request bodies are large.
     timeout : timedelta
         Longest time that a caller waits for an answer.
     latency_objective : timedelta
@@ -53,6 +54,10 @@
         Maximum number of different upstreams to which one request is sent.
     weighted_services : tuple of WeightedService
         Services that share the requests; at least one.
+    has_large_bodies : bool
+        Whether request bodies are large.
+    has_known_type : bool
+        Whether the type of the route is known. Otherwise its requests are treated with most care.
     """
 
     name: str
@@ -65,6 +70,8 @@
     priority: int
     max_upstreams: int
     weighted_services: tuple[WeightedService, ...]
+    has_large_bodies: bool = False
+    has_known_type: bool = True
 
     @property
     def is_repeatable(self) -> bool:
@@ -121,6 +128,11 @@
     services: Mapping[str, ServiceProperties]
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @property
+    def routes(self) -> Iterator[Route]:
+        """All routes."""
+        return chain.from_iterable(self.routes_by_host.values())
+
     @classmethod
     def from_routes(
         cls,
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -202,11 +202,7 @@
         self._draining_since = draining
         routes = self.member.routes
         if routes is not None:
-            route_names = {
-                route.name
-                for host_routes in routes.routes_by_host.values()
-                for route in host_routes
-            }
+            route_names = {route.name for route in routes.routes}
             self.service_splitter.retain_routes(route_names)
             self.work_times.retain(route_names)
         self.dispatch_waiting()
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -77,6 +77,10 @@
     lines.append("# TYPE laburnumhatch_knowledge_age_seconds gauge")
     for name, age in member.ages().items():
         lines.append(f'laburnumhatch_knowledge_age_seconds{{of="{name}"}} {age:.3f}')
+    routes = member.routes.routes if member.routes is not None else ()
+    unknown_count = sum(not route.has_known_type for route in routes)
+    lines.append("# TYPE laburnumhatch_routes_of_unknown_type gauge")
+    lines.append(f"laburnumhatch_routes_of_unknown_type {unknown_count}")
     lines.append("# TYPE laburnumhatch_key_ranges gauge")
     for service, ownership_map in sorted(member.ownership_maps.items()):
         count = len(ownership_map.ranges)
--- a/laburnumhatch/platform/configuration.py
+++ b/laburnumhatch/platform/configuration.py
@@ -1,8 +1,9 @@
 """Decoder of the operator's configuration document."""
 
 import re
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
+import logbook
 import msgspec
 
 from ..clocks.duration_text import parse_duration
@@ -21,12 +22,23 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 
-# How often a request may run and whether its answer is large, by route type.
+
+class _RouteType(NamedTuple):
+    """How often a request may run, and whether answers and request bodies are large."""
+
+    delivery_semantics: DeliverySemantics
+    is_bulky: bool = False
+    has_large_bodies: bool = False
+
+
 ROUTE_TYPES = {
-    "safe": (DeliverySemantics.ANY_NUMBER, False),
-    "unsafe": (DeliverySemantics.AT_MOST_ONCE, False),
-    "download": (DeliverySemantics.ANY_NUMBER, True),
+    "safe": _RouteType(DeliverySemantics.ANY_NUMBER),
+    "unsafe": _RouteType(DeliverySemantics.AT_MOST_ONCE),
+    "download": _RouteType(DeliverySemantics.ANY_NUMBER, is_bulky=True),
+    "upload": _RouteType(DeliverySemantics.AT_MOST_ONCE, is_bulky=True, has_large_bodies=True),
 }
+# Of a type that is not known, the assumption that does least harm.
+UNKNOWN_ROUTE_TYPE = ROUTE_TYPES["upload"]
 
 
 class DocumentInvalid(ValueError):
@@ -36,6 +48,7 @@
 # Largest values that are taken for what they say.
 MAX_NUMBER = 1_000_000
 MAX_SIZE_BYTES = 2**40
+MAX_LOGGED_LENGTH = 50
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Size = Annotated[int, msgspec.Meta(ge=0, le=MAX_SIZE_BYTES)]
 
@@ -88,10 +101,14 @@
 
 _decoder = msgspec.json.Decoder(_Document)
 
+_log = logbook.Logger("laburnumhatch.platform")
+
 
 def decode_configuration(content: bytes) -> RouteTable:
     """Return the route table that a document describes.
 
+    A route of an unknown type is treated as one whose requests run at most once and are large.
+
     Raises
     ------
     DocumentInvalid
@@ -124,9 +141,13 @@
 
 
 def _decode_route(name: str, route: _Route, services: dict[str, Any]) -> Route:
-    if route.route_type not in ROUTE_TYPES:
-        raise ValueError(f"routes.{name}.route_type: {route.route_type!r} is unknown")
-    delivery_semantics, is_bulky = ROUTE_TYPES[route.route_type]
+    route_type = ROUTE_TYPES.get(route.route_type)
+    if route_type is None:
+        _log.warning(
+            "routes.{}.route_type: {!r} is unknown; requests run at most once",
+            name,
+            route.route_type[:MAX_LOGGED_LENGTH],
+        )
     if route.service is not None:
         weighted_services: tuple[WeightedService, ...] = (WeightedService(route.service, 1.0),)
     else:
@@ -142,17 +163,20 @@
         raise ValueError(f"routes.{name}.prefix: {route.prefix!r} doesn't begin and end with /")
     if not weighted_services:
         raise ValueError(f"routes.{name}: neither service nor traffic_split names a service")
+    known_type = route_type or UNKNOWN_ROUTE_TYPE
     return Route(
         name=name,
         host=route.host.lower(),
         prefix=route.prefix,
-        delivery_semantics=delivery_semantics,
-        is_bulky=is_bulky,
+        delivery_semantics=known_type.delivery_semantics,
+        is_bulky=known_type.is_bulky,
         timeout=parse_duration(route.timeout),
         latency_objective=parse_duration(route.latency_goal),
         priority=route.priority,
         max_upstreams=max(1, route.max_attempts),
         weighted_services=weighted_services,
+        has_large_bodies=known_type.has_large_bodies,
+        has_known_type=route_type is not None,
     )
 
 
