Take no answer whose status HTTP doesn't define

Cause: h11 accepts every status of three digits from 100 to 999, so an upstream's sealed answer with status 600 or 999 reached the caller as that upstream's failure; the entry that isn't deployed takes what Twisted passes on, which is any number, 000 too. In the deployed gateway 000, 099 and statuses of two or four digits were errors of the protocol already; a call through another instance goes through the same parser.

Change: a status above 599 is an error of the protocol in the gateway; in the entry, one outside 200 to 599. Tests, before the change: 2 of 10 statuses failed in the gateway (600, 999), all 4 in the entry.

--- a/laburnumhatch/requests/tests/test_path.py
+++ b/laburnumhatch/requests/tests/test_path.py
@@ -162,6 +162,20 @@
     assert (await caller.answer()).refusal == (404, "unknown")
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"2000"])
+@pytest_twisted.ensureDeferred
+async def test_status_that_http_does_not_define_does_not_reach_the_caller(bench, status):
+    # Twisted takes any number for a status and passes it on.
+    server = bench.server("loft-1")
+    bench.route(SET)
+    server.script = [_after(b"HTTP/1.1 " + status + b" X\r\nContent-Length: 2\r\n", b"ok")]
+    caller = await bench.caller()
+    caller.send("PUT")
+    answer = await caller.answer()
+    assert (answer.status, answer.refusal) == (502, (404, "unknown"))
+    assert bench.paths[0].in_flight == 0
+
+
 @pytest_twisted.ensureDeferred
 async def test_disconnect_of_the_caller_cancels_its_upstream_call(bench):
     server = bench.server("loft-1")
--- a/laburnumhatch/requests/upstream_call.py
+++ b/laburnumhatch/requests/upstream_call.py
@@ -31,6 +31,8 @@
 __all__ = ["CallParameters", "UpstreamCall"]
 
 CONFLICT = 409
+# Statuses of a final answer. Twisted passes on any number that an upstream sends.
+FINAL_STATUSES = range(200, 600)
 
 
 @dataclass(slots=True)
@@ -153,6 +155,9 @@
             connection.abort_connection()
             return self._classify_error(e)
         self.answered_at = self._clock.now()
+        if response.code not in FINAL_STATUSES:
+            connection.abort_connection()
+            return Broken(f"status {response.code} is not defined")
         self.status = response.code
         if not self._is_own_answer(response.headers):
             self._pool.count_unmatched()
--- a/laburnumhatch/transport/outbound.py
+++ b/laburnumhatch/transport/outbound.py
@@ -34,6 +34,8 @@
 MAX_INTERIM_RESPONSES = 16
 MAX_DISCARDED_BYTES = 1_048_576
 MAX_DISCARDED_RESPONSES = 16
+# Largest status of HTTP; h11 also accepts those of three digits above it.
+MAX_STATUS = 599
 # Number of parsed events, such as chunks of a body, after which other connections get their turn.
 # Chunks of one byte would otherwise occupy the event loop for a quarter of a second per read.
 MAX_EVENTS_PER_TURN = 64
@@ -387,6 +389,8 @@
         receiver, request = self._receiver, self._request
         assert receiver is not None and request is not None
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise h11.RemoteProtocolError(f"status {event.status_code} is not defined")
             fields = [(bytes(n), bytes(v)) for n, v in event.headers]
             self._is_mismatched = not request.matches_response(event.status_code, fields)
             if not self._is_mismatched:
--- a/laburnumhatch/transport/tests/test_outbound.py
+++ b/laburnumhatch/transport/tests/test_outbound.py
@@ -236,3 +236,15 @@
     close_if_incomplete()
     upstream.send_bytes(ANSWER % (b"a2", b"again"))
     assert receiver.is_complete and not upstream.transport.is_aborted
+
+
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"600", b"999", b"20", b"2000", b"0200", b"+20", b"-20", b"2x0"]
+)
+def test_status_that_http_does_not_define_is_no_response(upstream, status):
+    # A caller would take a status of 600 or above, with the upstream's own fields, for an answer.
+    receiver = upstream.send_request()
+    upstream.send_bytes(b"HTTP/1.1 " + status + b" X\r\nid: a1\r\ncontent-length: 2\r\n\r\nok")
+    assert receiver.failure is not None and receiver.failure.kind is FailureKind.GARBLED
+    assert not receiver.is_complete and not receiver.status
+    assert upstream.transport.is_aborted and upstream.idle == []
