Bound the requests to upstreams that warm up, over all instances

Upstreams crash when they get their usual load while they warm up, and 62 instances that each avoid an unreachable one for a while all return to it at once: 17 requests in a second were seen.

An upstream of a service with warmup_per_s needs a permit of the leader for each request while its registration says that it warms up, after a failure to reach it, after its start, and when it is assumed to be cold. Instances report failures at once, and the leader tells the others. A late answer to a question for a permit is no longer taken for the answer to a later one, because the permit would be used too long after it was granted.

--- a/laburnumhatch/coordination/announcements.py
+++ b/laburnumhatch/coordination/announcements.py
@@ -1,6 +1,7 @@
 """Exchange of what upstreams announce in their answers, between the leader and other instances."""
 
 from collections.abc import Callable, Iterable
+from datetime import timedelta
 
 import logbook
 
@@ -8,9 +9,18 @@
 from ..fleet import RegistryView, Upstream, UpstreamIncarnation
 from ..links import ManagedLinks
 from ..placement import RequestLimits
+from ..placement.warmups import Warmups
 from .limit_sharing import LimitSharing
-from .messages import LeavingReport, LeavingUpstream, LimitReport, LimitUpdate
+from .messages import (
+    LeavingReport,
+    LeavingUpstream,
+    LimitReport,
+    LimitUpdate,
+    WarmupReport,
+    WarmupUpdate,
+)
 from .permits import Permits
+from .warmup_sharing import WarmupSharing
 
 __all__ = ["Announcements"]
 
@@ -18,13 +28,14 @@
 
 
 class Announcements:
-    """Limits and departures that upstreams announced, as known to this instance.
+    """Limits, warm-ups and departures that upstreams announced, as known to this instance.
 
     Parameters
     ----------
     clock : Clock
     links : ManagedLinks
     limits : RequestLimits
+    warmups : Warmups
     registry_view : RegistryView
     likely_instance_count : callable
         Returns the number of instances.
@@ -32,6 +43,8 @@
         Returns the member name of the present leader.
     is_leader : callable
         Returns whether this member leads.
+    has_authority : callable
+        Returns whether no other member can lead now.
     on_upstreams_changed : callable
         Called when an upstream has become one that leaves.
     """
@@ -42,10 +55,12 @@
         clock: Clock,
         links: ManagedLinks,
         limits: RequestLimits,
+        warmups: Warmups,
         registry_view: RegistryView,
         likely_instance_count: Callable[[], int],
         leader_name: Callable[[], str],
         is_leader: Callable[[], bool],
+        has_authority: Callable[[], bool],
         on_upstreams_changed: Callable[[], None],
     ) -> None:
         self._clock = clock
@@ -55,7 +70,14 @@
         self._is_leader = is_leader
         self._on_upstreams_changed = on_upstreams_changed
         self._limit_sharing = LimitSharing(limits, likely_instance_count, is_leader)
-        self._permits = Permits(clock, links, self._limit_sharing, leader_name, is_leader)
+        self._limits = limits
+        self._warmups = warmups
+        self._likely_instance_count = likely_instance_count
+        self._warmup_sharing = WarmupSharing(warmups, lambda: is_leader() and has_authority())
+        warmups.on_assumed = self._on_warmup_assumed
+        self._permits = Permits(clock, links, self, leader_name, is_leader)
+        links.add_handler(WarmupReport, self._handle_warmup_report)
+        links.add_handler(WarmupUpdate, self._handle_warmup_update)
         links.add_handler(LimitReport, self._handle_limit_report)
         links.add_handler(LimitUpdate, self._handle_limit_update)
         links.add_handler(LeavingReport, self._handle_leaving_report)
@@ -66,19 +88,58 @@
         self._limit_sharing.count_request(service, self._clock.now())
 
     def may_send_to(self, upstream: Upstream) -> bool:
-        """Return whether a request to an upstream keeps within what the upstream announced.
+        """Return whether a request to an upstream keeps within what the upstream takes.
 
         It may still need a permit.
         """
-        return self._limit_sharing.may_send(upstream, self._clock.now())
+        now = self._clock.now()
+        return self._limit_sharing.may_send(upstream, now) and self._warmup_sharing.may_send(
+            upstream.name, now
+        )
 
     def needs_permit(self, upstream: Upstream) -> bool:
         """Return whether a request to an upstream may only be sent with a permit of the leader."""
-        return self._limit_sharing.needs_permit(upstream.name, self._clock.now())
+        name, now = upstream.name, self._clock.now()
+        return self._warmup_sharing.needs_permit(name, now) or self._limit_sharing.needs_permit(
+            name, now
+        )
 
     def request_permit(self, upstream: Upstream, on_answer: Callable[[bool], None]) -> None:
         """Ask for a permit for one request, which `on_answer(is_granted)` sends at once."""
-        self._permits.request(upstream.name, on_answer)
+        if self._is_leader():
+            now = self._clock.now()
+            is_granted = self._warmup_sharing.grant_permit(upstream.name, now)
+            if not is_granted:
+                self.note_denied_permit(upstream.name, now)
+            on_answer(is_granted)
+        else:
+            self._permits.request(upstream.name, on_answer)
+
+    def grant_permit(self, name: str, now: timedelta) -> bool:
+        """Return whether another instance may send a request now; called at the leader."""
+        if not self._warmup_sharing.needs_permit(name, now):
+            return self._limit_sharing.grant_permit(name, now)
+        # Few instances have shares of an announced limit, which they keep to beside the permit.
+        has_shares = not self._limits.is_share_too_small(name, self._likely_instance_count())
+        return (
+            has_shares or self._limit_sharing.grant_permit(name, now)
+        ) and self._warmup_sharing.grant_permit(name, now)
+
+    def note_denied_permit(self, name: str, now: timedelta) -> None:
+        """Ask for no further permit for a while."""
+        self._limit_sharing.note_denied_permit(name, now)
+        self._warmup_sharing.note_denied_permit(name, now)
+
+    def assume_warming_up(self, names: Iterable[str]) -> None:
+        """Let upstreams need permits until registrations reported from now on say otherwise.
+
+        Called at each instance when upstreams are used again after an evacuation.
+        """
+        self._warmups.assume(names, self._clock.now())
+
+    def begin_leading(self) -> None:
+        """Grant permits from now on, after those of a former leader."""
+        self._warmups.begin_leading(self._clock.now())
 
     def note_leaving(self, incarnation: UpstreamIncarnation) -> None:
         """Give an upstream no new work, because an answer of its says that it leaves."""
@@ -88,14 +149,16 @@
             self._report_leaving([incarnation])
 
     def report_to_leader(self) -> None:
-        """Send the leader the limits that this instance has seen since its last report."""
+        """Send the leader the limits and warm-ups that this instance has found lately."""
         report = self._limit_sharing.next_report(self._clock.now())
         if report is not None:
             self._links.send(self._leader_name(), report)
+        self._report_warmups()
 
     def update_followers(self) -> None:
-        """Send the limits of all upstreams to the other instances."""
+        """Send the limits and warm-ups of all upstreams to the other instances."""
         peers = self._links.connected_peers()
+        self._update_warmups(peers)
         upstreams = self._registry_view.upstreams
         update = self._limit_sharing.next_update(peers, upstreams, self._clock.now())
         if update is not None:
@@ -107,8 +170,42 @@
         if report.upstreams and not self._is_leader():
             self._links.send(self._leader_name(), report)
 
+    def _report_warmups(self) -> None:
+        # Without a stream to the leader, all that is known is reported when there is one.
+        report = self._warmup_sharing.next_report(self._clock.now())
+        if report is not None:
+            self._links.send(self._leader_name(), report)
+
+    def _update_warmups(self, peers: Iterable[str]) -> None:
+        update = self._warmup_sharing.next_update(self._clock.now())
+        if update is not None:
+            for peer in peers:
+                self._links.send(peer, update)
+
+    def _on_warmup_assumed(self) -> None:
+        """Tell the others at once: an upstream that was unreachable may be back in a moment."""
+        if self._is_leader():
+            self._update_warmups(self._links.connected_peers())
+        else:
+            self._report_warmups()
+
+    def _handle_warmup_report(self, peer: str, report: WarmupReport) -> None:
+        if self._is_leader():
+            self._warmup_sharing.apply_report(report, self._clock.now())
+            if report.found:
+                self._update_warmups(self._links.connected_peers())
+
+    def _handle_warmup_update(self, peer: str, update: WarmupUpdate) -> None:
+        if not self._is_leader() and peer == self._leader_name():
+            self._warmup_sharing.apply_update(update, self._clock.now())
+
     def _on_connected(self, peer: str) -> None:
         if peer == self._leader_name():
+            self._warmups.report_again()
+            self._report_warmups()
+        elif self._is_leader():
+            # Known before the list of upstreams, so that the first request to one has its permit.
+            self._update_warmups([peer])
             self._report_leaving(self._registry_view.leaving())
 
     def _handle_limit_report(self, peer: str, report: LimitReport) -> None:
--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -475,8 +475,12 @@
                 )
             return
         reachable = [incarnation for incarnation in usable if self._is_reachable(incarnation, now)]
-        limits = self._load_tracker.limits
-        unlimited = [i for i in reachable if limits.rate_per_s(i.name) is None]
+        limits, warmups = self._load_tracker.limits, self._load_tracker.warmups
+        unlimited = [
+            i
+            for i in reachable
+            if limits.rate_per_s(i.name) is None and not warmups.is_warming(i.name, now)
+        ]
         assignable = unlimited or reachable
         registered = {name: upstream.incarnation for name, upstream in self._upstreams.items()}
         for lease in fence_restarted_former_owners(leases, registered, now):
@@ -597,6 +601,7 @@
                     "upstream {} is unreachable: {}", order.upstream.name, type(result).__name__
                 )
             self._unreachable[order.upstream] = now + UNREACHABLE_PERIOD
+            self._load_tracker.warmups.note_unreachable(order.upstream, leases.service, now)
         elif isinstance(result, GrantRefused):
             _log.warning(
                 "upstream {} refused fencing token {} for keys {}-{}",
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -190,10 +190,12 @@
             clock=clock,
             links=links,
             limits=load_tracker.limits,
+            warmups=load_tracker.warmups,
             registry_view=self.registry_view,
             likely_instance_count=lambda: self.likely_instance_count,
             leader_name=lambda: self.leader_name,
             is_leader=lambda: self.is_leader,
+            has_authority=lambda: self._leadership.has_authority(clock.now()),
             on_upstreams_changed=self._on_upstreams_changed,
         )
         self._registry_reports = RegistryReports(
@@ -354,9 +356,15 @@
     def _handle_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         self._received_state.is_in_effect = False
         self._registry_reports.report(self._clock.now() - self._reader.registry_as_of)
-        if self.registry_view.apply_read(upstreams, self._clock.now()):
+        has_changed = self.registry_view.apply_read(upstreams, self._clock.now())
+        self._observe_warmups(self._reader.registry_as_of)
+        if has_changed:
             self._on_upstreams_changed()
 
+    def _observe_warmups(self, read_at: timedelta | None) -> None:
+        upstreams = self.registry_view.upstreams
+        self._load_tracker.warmups.observe_registry(upstreams, read_at, self._clock.now())
+
     def _handle_configuration(self, configuration: StoredConfiguration) -> None:
         generation = generation_of(self._reader.configuration_row_version)
         self._configuration.handle_read(configuration, generation)
@@ -410,6 +418,8 @@
         while len(self._addresses) > MAX_REMEMBERED_ADDRESSES:
             del self._addresses[next(iter(self._addresses))]
         self._load_tracker.retain(upstreams, self._clock.now())
+        if self.routes is not None:
+            self._load_tracker.warmups.configure(self.routes.services.values())
         self._registry_version += 1
         self._upstream_names = sorted(upstreams)
         if self._leader is not None:
@@ -468,6 +478,7 @@
             timing=self._lease_timing,
             reaches_service=lambda service: self.reaches_service(service),
         )
+        self.announcements.begin_leading()
         self._links.set_peers([], is_mutual=False)
         for handler in self._leadership_handlers:
             handler()
@@ -701,6 +712,7 @@
         has_changes = update.registry_changes is not None or not state.is_in_effect
         if has_changes and is_registry_newer:
             self.registry_view.replace(state.upstreams.values())
+            self._observe_warmups(None)
             self._on_upstreams_changed()
         elif has_new_maps:
             self._on_owners_change()
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -8,6 +8,7 @@
 __all__ = [
     "COORDINATION_MESSAGES",
     "AnnouncedLimit",
+    "AnsweringUpstream",
     "ConfigurationContent",
     "ConfigurationRequest",
     "CrashReport",
@@ -38,6 +39,9 @@
     "TermQuestion",
     "Totals",
     "UpstreamStats",
+    "WarmingUpstream",
+    "WarmupReport",
+    "WarmupUpdate",
 ]
 
 
@@ -449,6 +453,50 @@
             raise ValueError("the age of a read is negative")
 
 
+@dataclass(frozen=True, slots=True)
+class WarmingUpstream:
+    """An upstream that counts as warming up; see `laburnumhatch.placement.warmups`.
+
+    Attributes
+    ----------
+    upstream : str
+    age : timedelta
+        Time since it was last assumed to warm up.
+    awaits_answer : bool
+        Whether it was unreachable and has not answered since.
+    remaining : timedelta or None
+        Rest of the warm-up; None if only a registration can tell.
+    """
+
+    upstream: str
+    age: timedelta
+    awaits_answer: bool
+    remaining: timedelta | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweringUpstream:
+    """An upstream that was unreachable and has answered a request that was sent `age` ago."""
+
+    upstream: str
+    age: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class WarmupReport:
+    """What an instance has found of upstreams that warm up since its last report."""
+
+    found: tuple[WarmingUpstream, ...]
+    answering: tuple[AnsweringUpstream, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WarmupUpdate:
+    """All upstreams that count as warming up at the leader."""
+
+    upstreams: tuple[WarmingUpstream, ...]
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -469,5 +517,7 @@
         RelayPeerList,
         LeadershipYielded,
         RegistryReadReport,
+        WarmupReport,
+        WarmupUpdate,
     ),
 )
--- a/laburnumhatch/coordination/permits.py
+++ b/laburnumhatch/coordination/permits.py
@@ -1,28 +1,50 @@
-"""Permits of the leader for single requests to upstreams that announced a limit."""
+"""Permits of the leader for single requests to upstreams that take few of them."""
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
 
 from ..clocks import Clock, Timeout, milliseconds
 from ..links import ManagedLinks
-from .limit_sharing import LimitSharing
 from .messages import PermitAnswer, PermitRequest
 
-__all__ = ["Permits"]
+__all__ = ["PermitSource", "Permits"]
 
 # Time after which a question that the leader hasn't answered counts as denied: some round trips
 # between data centres, and the time that a busy leader may need.
 ANSWER_TIMEOUT = milliseconds(150)
 
 
+class PermitSource(Protocol):
+    """Decides on permits at the leader, and records denials at the others."""
+
+    def grant_permit(self, name: str, now: timedelta) -> bool:
+        """Return whether another instance may send a request to an upstream now."""
+
+    def note_denied_permit(self, name: str, now: timedelta) -> None:
+        """Ask for no further permit for a while."""
+
+
+@dataclass(slots=True, eq=False)
+class _Question:
+    """A question to the leader; without a receiver if it has timed out."""
+
+    receiver: Callable[[bool], None] | None
+
+
 class Permits:
     """Questions of this instance to the leader, and the leader's answers to others.
 
+    Answers come in the order of the questions. One that comes after its question has timed out is
+    not taken for the answer to a later question, since its permit counts for an earlier time.
+
     Parameters
     ----------
     clock : Clock
     links : ManagedLinks
-    limit_sharing : LimitSharing
+    source : PermitSource
     leader_name : callable
         Returns the member name of the present leader.
     is_leader : callable
@@ -33,19 +55,20 @@
         self,
         clock: Clock,
         links: ManagedLinks,
-        limit_sharing: LimitSharing,
+        source: PermitSource,
         leader_name: Callable[[], str],
         is_leader: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._links = links
-        self._limit_sharing = limit_sharing
+        self._source = source
         self._leader_name = leader_name
         self._is_leader = is_leader
-        # Receivers of the answers by upstream, in the order of the questions.
-        self._receivers: dict[str, deque[Callable[[bool], None]]] = {}
+        # Unanswered questions by leader and upstream, in their order.
+        self._questions: dict[tuple[str, str], deque[_Question]] = {}
         links.add_handler(PermitRequest, self._handle_request)
         links.add_handler(PermitAnswer, self._handle_answer)
+        links.add_connect_handler(self._on_connected)
 
     def request(self, upstream: str, on_answer: Callable[[bool], None]) -> None:
         """Ask the leader for a permit, and call `on_answer` with whether it is granted.
@@ -53,37 +76,39 @@
         It is called once, later or at once if the leader can't be asked. A permit is for a request
         that is sent at once.
         """
-        self._receivers.setdefault(upstream, deque()).append(on_answer)
-        if self._links.send(self._leader_name(), PermitRequest(upstream)):
-            Timeout(self._clock, ANSWER_TIMEOUT, self._deny, upstream, on_answer)
+        leader, question = self._leader_name(), _Question(on_answer)
+        questions = self._questions.setdefault((leader, upstream), deque())
+        questions.append(question)
+        if self._links.send(leader, PermitRequest(upstream)):
+            Timeout(self._clock, ANSWER_TIMEOUT, self._end, upstream, question, False)
         else:
-            self._deny(upstream, on_answer)
+            questions.remove(question)
+            self._end(upstream, question, False)
 
-    def _deny(self, upstream: str, receiver: Callable[[bool], None]) -> None:
-        """End a question that has not been answered."""
-        if receiver in self._receivers.get(upstream, ()):
-            self._remove(upstream, receiver)
-            self._limit_sharing.note_denied_permit(upstream, self._clock.now())
-            receiver(False)
+    def _end(self, upstream: str, question: _Question, is_granted: bool) -> None:
+        """End a question unless it has ended."""
+        receiver, question.receiver = question.receiver, None
+        if receiver is not None:
+            if not is_granted:
+                self._source.note_denied_permit(upstream, self._clock.now())
+            receiver(is_granted)
 
-    def _remove(self, upstream: str, receiver: Callable[[bool], None]) -> None:
-        waiting = self._receivers[upstream]
-        waiting.remove(receiver)
-        if not waiting:
-            del self._receivers[upstream]
+    def _on_connected(self, peer: str) -> None:
+        """End the questions that were asked on a former stream."""
+        for leader, upstream in [key for key in self._questions if key[0] == peer]:
+            for question in self._questions.pop((leader, upstream)):
+                self._end(upstream, question, False)
 
     def _handle_request(self, peer: str, request: PermitRequest) -> None:
-        is_granted = self._is_leader() and self._limit_sharing.grant_permit(
+        is_granted = self._is_leader() and self._source.grant_permit(
             request.upstream, self._clock.now()
         )
         self._links.send(peer, PermitAnswer(request.upstream, is_granted))
 
     def _handle_answer(self, peer: str, answer: PermitAnswer) -> None:
-        waiting = self._receivers.get(answer.upstream)
-        if not waiting:
-            return
-        receiver = waiting[0]
-        self._remove(answer.upstream, receiver)
-        if not answer.is_granted:
-            self._limit_sharing.note_denied_permit(answer.upstream, self._clock.now())
-        receiver(answer.is_granted)
+        questions = self._questions.get((peer, answer.upstream))
+        if questions:
+            question = questions.popleft()
+            if not questions:
+                del self._questions[peer, answer.upstream]
+            self._end(answer.upstream, question, answer.is_granted)
--- /dev/null
+++ b/laburnumhatch/coordination/warmup_sharing.py
@@ -0,0 +1,100 @@
+"""Exchange of the upstreams that warm up between the leader and the other instances."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from ..placement.warmups import ReportedWarmup, Warmups
+from .limit_sharing import DENIAL_LIFETIME
+from .messages import AnsweringUpstream, WarmingUpstream, WarmupReport, WarmupUpdate
+
+__all__ = ["WarmupSharing"]
+
+ZERO = timedelta()
+
+
+class WarmupSharing:
+    """Upstreams that warm up, and the permits for requests to them.
+
+    Parameters
+    ----------
+    warmups : Warmups
+    may_grant : callable
+        Returns whether this instance leads and no other one can do so now.
+    """
+
+    def __init__(self, warmups: Warmups, may_grant: Callable[[], bool]) -> None:
+        self._warmups = warmups
+        self._may_grant = may_grant
+        # By upstream, until when this instance asks for no permit.
+        self._denied_until: dict[str, timedelta] = {}
+
+    def next_report(self, now: timedelta) -> WarmupReport | None:
+        """Return this instance's report to the leader, or None if there is nothing to report."""
+        found, answered = self._warmups.collect_unreported(), self._warmups.collect_answered()
+        if not found and not answered:
+            return None
+        return WarmupReport(
+            _to_messages(found, now),
+            tuple(
+                AnsweringUpstream(name, max(now - sent_at, ZERO))
+                for name, sent_at in answered.items()
+            ),
+        )
+
+    def apply_report(self, report: WarmupReport, now: timedelta) -> None:
+        """Apply another instance's report at the leader."""
+        for found in report.found:
+            self._warmups.apply_finding(found.upstream, _from_message(found, now), now)
+        for answering in report.answering:
+            self._warmups.apply_answer(answering.upstream, now - answering.age)
+
+    def next_update(self, now: timedelta) -> WarmupUpdate | None:
+        """Return the leader's update, or None if no service bounds such requests."""
+        if not self._warmups.is_in_use:
+            return None
+        return WarmupUpdate(_to_messages(self._warmups.all_reported(now), now))
+
+    def apply_update(self, update: WarmupUpdate, now: timedelta) -> None:
+        """Apply the leader's update."""
+        listed = {listed.upstream: _from_message(listed, now) for listed in update.upstreams}
+        self._warmups.apply_list(listed, now)
+
+    def may_send(self, name: str, now: timedelta) -> bool:
+        """Return whether a permit for a request to an upstream is needless or may be granted."""
+        if not self._warmups.is_warming(name, now):
+            return True
+        if self._may_grant():
+            return self._warmups.has_permit(name, now)
+        return now >= self._denied_until.get(name, now)
+
+    def needs_permit(self, name: str, now: timedelta) -> bool:
+        """Return whether a request to an upstream needs a permit, also of the leader itself."""
+        return self._warmups.is_warming(name, now)
+
+    def grant_permit(self, name: str, now: timedelta) -> bool:
+        """Return whether a request to an upstream that warms up may be sent now."""
+        return self._may_grant() and self._warmups.grant_permit(name, now)
+
+    def note_denied_permit(self, name: str, now: timedelta) -> None:
+        """Ask for no further permit for a while, so that the leader isn't flooded."""
+        self._denied_until = {n: until for n, until in self._denied_until.items() if until > now}
+        self._denied_until[name] = now + DENIAL_LIFETIME
+
+
+def _to_messages(
+    reported: dict[str, ReportedWarmup], now: timedelta
+) -> tuple[WarmingUpstream, ...]:
+    return tuple(
+        WarmingUpstream(
+            name,
+            max(now - r.since, ZERO),
+            r.awaits_answer,
+            max(r.until - now, ZERO) if r.until is not None else None,
+        )
+        for name, r in reported.items()
+    )
+
+
+def _from_message(message: WarmingUpstream, now: timedelta) -> ReportedWarmup:
+    until = now + message.remaining if message.remaining is not None else None
+    return ReportedWarmup(now - message.age, message.awaits_answer, until)
--- a/laburnumhatch/fleet/routes.py
+++ b/laburnumhatch/fleet/routes.py
@@ -92,12 +92,18 @@
         Whether each key of the service is owned exclusively by one upstream.
     health_check_path : str
         Path of the health check of an upstream.
+    warmup : timedelta
+        Time for which an upstream warms up after its start.
+    warmup_per_s : float or None
+        Requests per second that an upstream tolerates while it warms up; None without a bound.
     """
 
     name: str
     connection_limit: int
     is_keyed: bool
     health_check_path: str = "/"
+    warmup: timedelta = timedelta()
+    warmup_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/gateway/attempt.py
+++ b/laburnumhatch/gateway/attempt.py
@@ -67,22 +67,27 @@
 
 def _record_load(gateway: "Gateway", attempt: Attempt, outcome: AttemptOutcome) -> None:
     upstream, now = attempt.upstream, gateway.clock.now()
-    load = gateway.load_tracker.load_of(upstream.name)
-    load.own_in_flight -= 1
+    load_tracker = gateway.load_tracker
+    load_tracker.load_of(upstream.name).own_in_flight -= 1
+    if attempt.sent_at is not None and attempt.status not in (0, MISDIRECTED):
+        load_tracker.warmups.note_answered(upstream.name, attempt.sent_at)
     if outcome.is_unreachable:
-        load.record_unreachable(now)
+        load_tracker.record_unreachable(upstream.incarnation, upstream.service, now)
         gateway.pool.close_idle((upstream.host, upstream.port))
     elif outcome.kind is OutcomeKind.NOT_RUN and attempt.status == MISDIRECTED:
         if attempt.key is None:
             # Another process answers at the address, so the upstream has ended.
-            load.record_unreachable(now)
+            load_tracker.record_unreachable(upstream.incarnation, upstream.service, now)
         else:
             suspend_denied_range(gateway, attempt.service, attempt.key, upstream)
     elif outcome.kind is OutcomeKind.NOT_RUN or (
         outcome.is_connection_lost and attempt.was_expected_to_wait
     ):
         # A full upstream may reset the connections of the requests that it doesn't accept.
-        gateway.load_tracker.record_answer(upstream.name, now, service_time_s=None, declined=True)
+        load_tracker.record_answer(upstream.name, now, service_time_s=None, declined=True)
+    elif outcome.is_connection_lost and not attempt.status:
+        # The upstream may have crashed and be back, cold, before anyone fails to connect.
+        load_tracker.warmups.note_unreachable(upstream.incarnation, upstream.service, now)
     elif outcome.kind is OutcomeKind.SUCCESS and attempt.sent_at is not None:
         _record_service_time(gateway, attempt, (now - attempt.sent_at).total_seconds())
 
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -23,6 +23,8 @@
 from ..keyspace import LeaseTiming
 from ..links import LINK_MESSAGES, Codec, PeerLinks
 from ..placement import LoadTracker
+from ..placement.warmup_allowance import WarmupAllowance
+from ..placement.warmups import Warmups
 from ..platform.order_sender import PlatformOrderSender
 from ..platform.sources import platform_sources
 from ..platform.store import PlatformStore
@@ -73,7 +75,7 @@
         caller = HttpCaller(pool, clock)
         store_host, store_port = parse_address(settings.store)
         self._store = PlatformStore(caller, clock, store_host, store_port)
-        load_tracker = LoadTracker()
+        load_tracker = LoadTracker(warmups=_warmups(settings))
         name = f"{settings.name}/{secrets.token_hex(4)}"
         self._links = PeerLinks(
             reactor=reactor,
@@ -245,6 +247,16 @@
         resignation.addBoth(lambda _: self._lifecycle.handed_over())
 
 
+def _warmups(settings: GatewaySettings) -> Warmups:
+    """Return the state of upstreams that warm up, with the bound that the settings give."""
+    overage, slack = settings.warmup_overage, settings.warmup_slack
+    if overage is None and slack is None:
+        return Warmups()
+    # The template leaves out a zero.
+    allowance = WarmupAllowance(1.0 if overage is None else overage, slack or 0.0)
+    return Warmups(allowance, settings.first_start)
+
+
 def _memory_bytes(settings: GatewaySettings) -> float:
     """Return the memory that the process may use, by the settings and by its own limit."""
     own_limit, _ = resource.getrlimit(resource.RLIMIT_AS)
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -74,6 +74,13 @@
     lines.append("# TYPE laburnumhatch_upstream_request_limit gauge")
     for name, rate_per_s in sorted(gateway.load_tracker.limits.rates_per_s.items()):
         lines.append(f'laburnumhatch_upstream_request_limit{{upstream="{name}"}} {rate_per_s:g}')
+    warmups = gateway.load_tracker.warmups
+    lines.append("# TYPE laburnumhatch_upstream_warming_up gauge")
+    for name in warmups.names:
+        lines.append(f'laburnumhatch_upstream_warming_up{{upstream="{name}"}} 1')
+    lines.append("# TYPE laburnumhatch_warmup_permits_total counter")
+    for result, count in (("granted", warmups.granted_count), ("denied", warmups.denied_count)):
+        lines.append(f'laburnumhatch_warmup_permits_total{{result="{result}"}} {count}')
     lines.append("# TYPE laburnumhatch_knowledge_age_seconds gauge")
     for name, age in member.ages().items():
         lines.append(f'laburnumhatch_knowledge_age_seconds{{of="{name}"}} {age:.3f}')
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -50,6 +50,10 @@
         or has lost it.
     memory_mb : float, optional
         Memory in MiB at which the platform ends the process.
+    warmup_overage, warmup_slack : float, optional
+        Factor on the requests per second that an upstream tolerates while it warms up, and further
+        requests, that together may reach it within a second. Without either, nothing is bounded;
+        if one is given, the other is 1 or 0.
     """
 
     name: str
@@ -70,6 +74,8 @@
     stop_within: str
     first_start: bool
     memory_mb: float = DEFAULT_MEMORY_MB
+    warmup_overage: float | None = None
+    warmup_slack: float | None = None
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
@@ -95,6 +101,10 @@
             raise SettingsError(f"{path}: {field}: {e}") from e
     if not settings.memory_mb > 0:
         raise SettingsError(f"{path}: memory_mb is not positive")
+    for field in ("warmup_overage", "warmup_slack"):
+        value = getattr(settings, field)
+        if value is not None and value < 0:
+            raise SettingsError(f"{path}: {field} is negative")
     for field in ("callers", "readiness", "store"):
         host, _, port = getattr(settings, field).rpartition(":")
         if not host or not port.isdigit():
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -30,8 +30,10 @@
     "stop_within": "6s",
     "first_start": False,
     "memory_mb": 300,
+    "warmup_overage": None,
+    "warmup_slack": None,
 }
-OPTIONAL = ["memory_mb"]
+OPTIONAL = ["memory_mb", "warmup_overage", "warmup_slack"]
 
 
 @pytest.fixture
@@ -61,6 +63,8 @@
         ("memory_mb", 0),
         ("memory_mb", -1),
         ("memory_mb", "much"),
+        ("warmup_overage", -1),
+        ("warmup_slack", "some"),
     ],
 )
 def test_error_names_the_invalid_field(write, field, value):
--- a/laburnumhatch/placement/capacities.py
+++ b/laburnumhatch/placement/capacities.py
@@ -49,6 +49,9 @@
         limit_per_s = load_tracker.limits.rate_per_s(upstream.name)
         if limit_per_s is not None:
             capacity = min(capacity, max(limit_per_s, MIN_RATE_PER_S))
+        warmup_per_s = load_tracker.warmups.rate_per_s(upstream.name, now)
+        if warmup_per_s is not None:
+            capacity = min(capacity, max(warmup_per_s, MIN_RATE_PER_S))
         capacities[upstream.incarnation] = capacity
     return capacities
 
--- a/laburnumhatch/placement/loads.py
+++ b/laburnumhatch/placement/loads.py
@@ -7,7 +7,9 @@
 
 from ..clocks import milliseconds
 from ..coordination.messages import KeyCount, LoadReport, RouteDemand, UpstreamStats
+from ..fleet import UpstreamIncarnation
 from .request_limits import RequestLimits
+from .warmups import Warmups
 
 __all__ = ["LoadTracker", "UpstreamLoad", "UpstreamTotals"]
 
@@ -150,6 +152,8 @@
         Expected work of the requests since the last report by service and priority, in seconds.
     limits : RequestLimits
         Limits that upstreams announced.
+    warmups : Warmups
+        Upstreams that warm up.
 
     Notes
     -----
@@ -161,6 +165,7 @@
     key_counts: dict[tuple[str, int, int], int] = field(default_factory=dict)
     demands_s: dict[tuple[str, int], float] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
+    warmups: Warmups = field(default_factory=Warmups)
     _totals_at: timedelta = timedelta(days=-1)
     _find_total: Callable[[str], UpstreamTotals | None] | None = None
     _totals_number: int = 0
@@ -178,6 +183,7 @@
         """Remove the other upstreams, except those with requests of this instance in flight."""
         kept_names = set(names)
         self.limits.retain(kept_names, now)
+        self.warmups.retain(kept_names, now)
         for name in [
             n for n, load in self.loads.items() if n not in kept_names and not load.own_in_flight
         ]:
@@ -216,6 +222,13 @@
         load.unreported_declines += int(declined)
         load.unreported_service_time_s += service_time_s or 0.0
 
+    def record_unreachable(
+        self, incarnation: UpstreamIncarnation, service: str, now: timedelta
+    ) -> None:
+        """Record a failure of this instance to reach an upstream."""
+        self.load_of(incarnation.name).record_unreachable(now)
+        self.warmups.note_unreachable(incarnation, service, now)
+
     def collect_report(self) -> LoadReport:
         """Return a report of the load since the last report, and start a new one."""
         stats = []
--- a/laburnumhatch/platform/configuration.py
+++ b/laburnumhatch/platform/configuration.py
@@ -1,6 +1,8 @@
 """Decoder of the operator's configuration document."""
 
+import math
 import re
+from datetime import timedelta
 from typing import Annotated, Any, NamedTuple
 
 import logbook
@@ -49,6 +51,7 @@
 MAX_NUMBER = 1_000_000
 MAX_SIZE_BYTES = 2**40
 MAX_LOGGED_LENGTH = 50
+MAX_WARMUP = timedelta(days=1)
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Size = Annotated[int, msgspec.Meta(ge=0, le=MAX_SIZE_BYTES)]
 
@@ -79,6 +82,10 @@
     # Whether the service is partitioned by key, with one owner for each key.
     sharded: bool = False
     health_path: str = "/"
+    # Time for which an upstream warms up after its start, and the requests a second that it takes
+    # meanwhile. Of any type, since an odd value must not reject the document.
+    warmup: Any = None
+    warmup_per_s: Any = None
 
 
 class _Limits(msgspec.Struct):
@@ -124,7 +131,12 @@
             ),
             {
                 name: ServiceProperties(
-                    name, service.max_conns, service.sharded, service.health_path
+                    name,
+                    service.max_conns,
+                    service.sharded,
+                    service.health_path,
+                    _decode_warmup(name, service.warmup),
+                    _decode_warmup_rate(name, service.warmup_per_s),
                 )
                 for name, service in document.services.items()
             },
@@ -180,6 +192,35 @@
     )
 
 
+def _decode_warmup(service: str, value: Any) -> timedelta:
+    """Return the duration of a service's warm-up; zero if there is none or an odd one."""
+    if value is None:
+        return timedelta()
+    try:
+        warmup = parse_duration(value)
+    except ValueError:
+        warmup = None
+    if warmup is None or warmup > MAX_WARMUP:
+        _warn_left_out(f"services.{service}.warmup", value)
+        return timedelta()
+    return warmup
+
+
+def _decode_warmup_rate(service: str, value: Any) -> float | None:
+    """Return the requests a second during a warm-up; None if there is no bound or an odd one."""
+    if value is None:
+        return None
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or not 0 < value <= MAX_NUMBER:
+        _warn_left_out(f"services.{service}.warmup_per_s", value)
+        return None
+    return float(value)
+
+
+def _warn_left_out(field: str, value: Any) -> None:
+    _log.warning("{}: {} is left out", field, repr(value)[:MAX_LOGGED_LENGTH])
+
+
 def _decode_limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
         limits.max_header_bytes,
