Use the load that upstreams report, and test the pace of warm-ups

X-Server-Load gives the requests at an upstream from all instances at the time of the answer, while the leader's totals are some 250 ms old. The pace is smoothed and kept for the choice of the upstream.

--- a/laburnumhatch/coordination/announcements.py
+++ b/laburnumhatch/coordination/announcements.py
@@ -190,10 +190,9 @@
             self._report_warmups()
 
     def _handle_warmup_report(self, peer: str, report: WarmupReport) -> None:
-        if self._is_leader():
-            self._warmup_sharing.apply_report(report, self._clock.now())
-            if report.found:
-                self._update_warmups(self._links.connected_peers())
+        now = self._clock.now()
+        if self._is_leader() and self._warmup_sharing.apply_report(report, now):
+            self._update_warmups(self._links.connected_peers())
 
     def _handle_warmup_update(self, peer: str, update: WarmupUpdate) -> None:
         if not self._is_leader() and peer == self._leader_name():
--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -612,6 +612,7 @@
             )
         elif isinstance(result, OrderAcknowledged):
             self._mark_responsive(order.upstream)
+            self._load_tracker.warmups.note_answered(order.upstream.name, sent_at)
         if isinstance(result, GrantRefused) and now < self._no_moves_before:
             # Another token would be a change that the former leader can't know of.
             result = NoAnswer(never_sent=True)
--- a/laburnumhatch/coordination/load_summary.py
+++ b/laburnumhatch/coordination/load_summary.py
@@ -81,4 +81,4 @@
         for in_flight_by_upstream in self._in_flight.values():
             for name, in_flight in in_flight_by_upstream.items():
                 others[name] = others.get(name, 0) + in_flight
-        self._load_tracker.set_others_in_flight(others)
+        self._load_tracker.set_others_in_flight(others, now)
--- a/laburnumhatch/coordination/tests/test_permits.py
+++ b/laburnumhatch/coordination/tests/test_permits.py
@@ -65,6 +65,30 @@
     assert other.answers == [False]
 
 
+def test_late_permit_is_not_used_for_a_later_request(instances, clock):
+    # The request would be sent long after the leader has counted it.
+    leader, other = instances
+    leader.links.handlers[PermitRequest] = lambda peer, request: None
+    other.ask()
+    clock.advance(ANSWER_TIMEOUT)
+    other.ask()
+    clock.advance(ANSWER_TIMEOUT / 2)
+    leader.sharing.grant_permit = lambda name, now: len(other.answers) == 1
+    leader.permits._handle_request("other", PermitRequest("u"))
+    assert other.answers == [False]
+    leader.permits._handle_request("other", PermitRequest("u"))
+    assert other.answers == [False, True]
+
+
+def test_questions_on_a_stream_that_was_replaced_are_denied(instances):
+    leader, other = instances
+    leader.links.handlers[PermitRequest] = lambda peer, request: None
+    other.ask()
+    for handler in other.links.on_connect:
+        handler("leader")
+    assert other.answers == [False]
+
+
 def test_question_without_a_stream_is_denied_at_once(instances):
     _, other = instances
     other.links.peers.clear()
--- a/laburnumhatch/coordination/warmup_sharing.py
+++ b/laburnumhatch/coordination/warmup_sharing.py
@@ -41,12 +41,14 @@
             ),
         )
 
-    def apply_report(self, report: WarmupReport, now: timedelta) -> None:
-        """Apply another instance's report at the leader."""
+    def apply_report(self, report: WarmupReport, now: timedelta) -> bool:
+        """Apply another instance's report at the leader; return whether it names a new upstream."""
+        known = set(self._warmups.names)
         for found in report.found:
             self._warmups.apply_finding(found.upstream, _from_message(found, now), now)
         for answering in report.answering:
             self._warmups.apply_answer(answering.upstream, now - answering.age)
+        return not known.issuperset(self._warmups.names)
 
     def next_update(self, now: timedelta) -> WarmupUpdate | None:
         """Return the leader's update, or None if no service bounds such requests."""
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -39,6 +39,7 @@
     held_bytes_limit,
 )
 from ..transport.memory_budget import MEBIBYTE
+from .announced import apply_health_answer
 from .crash_guard import CrashGuard
 from .gateway import Gateway, RetryPolicy
 from .pages import metrics_page, readiness_page
@@ -101,6 +102,7 @@
             sender=PlatformOrderSender(
                 HttpCaller(ConnectionPool(reactor, clock), clock),
                 lambda incarnation: self._member.announcements.note_leaving(incarnation),
+                lambda incarnation, fields: apply_health_answer(self._gateway, incarnation, fields),
             ),
             load_tracker=load_tracker,
             on_change=lambda: self._gateway.refresh(),
--- a/laburnumhatch/placement/loads.py
+++ b/laburnumhatch/placement/loads.py
@@ -8,6 +8,7 @@
 from ..clocks import milliseconds
 from ..coordination.messages import KeyCount, LoadReport, RouteDemand, UpstreamStats
 from ..fleet import UpstreamIncarnation
+from .reported_load import REPORT_LIFETIME, ReportedLoad
 from .request_limits import RequestLimits
 from .warmups import Warmups
 
@@ -21,6 +22,8 @@
 # failure.
 INITIAL_AVOIDANCE = milliseconds(600)
 MAX_AVOIDANCE = milliseconds(5000)
+# Interval at which the age of reports is checked.
+CHECK_INTERVAL = milliseconds(100)
 # Age after which the other instances' requests in flight count as zero, unless the leader sends new
 # totals.
 TOTALS_LIFETIME = milliseconds(1500)
@@ -56,7 +59,8 @@
     own_in_flight : int
         Requests in flight from this instance.
     others_in_flight : int
-        Requests in flight from the other instances, according to the leader's last totals.
+        Requests in flight from the other instances, according to the leader's last totals or to
+        what the upstream reported since.
     service_time_s : float
         Smoothed time for which a request occupies a slot, in seconds; 0 if unknown.
     answer_count, decline_count : float
@@ -78,6 +82,8 @@
         Value of `own_in_flight` in the last report.
     totals_number : int
         Number of the totals that `others_in_flight` is from; see `LoadTracker`.
+    reported : ReportedLoad
+        Load that the upstream reported.
     """
 
     own_in_flight: int = 0
@@ -94,6 +100,7 @@
     unreported_service_time_s: float = 0.0
     reported_in_flight: int = 0
     totals_number: int = 0
+    reported: ReportedLoad = field(default_factory=ReportedLoad)
 
     @property
     def in_flight(self) -> int:
@@ -130,6 +137,12 @@
         avoidance = INITIAL_AVOIDANCE * 2 ** min(self.consecutive_failures - 1, 6)
         self.avoid_until = now + min(avoidance, MAX_AVOIDANCE)
 
+    def set_totals_others(self, others: int, totals_at: timedelta) -> None:
+        """Set the requests of the other instances by totals, unless a report is fresher."""
+        self.reported.totals_others = others
+        if not self.reported.is_fresher(totals_at):
+            self.others_in_flight = others
+
     def _decay(self, now: timedelta) -> None:
         half_lives = (now - self.decayed_at) / DECLINE_HALF_LIFE
         if half_lives > 0.1:
@@ -169,6 +182,8 @@
     _totals_at: timedelta = timedelta(days=-1)
     _find_total: Callable[[str], UpstreamTotals | None] | None = None
     _totals_number: int = 0
+    # Upstreams whose `others_in_flight` is from a report.
+    _reporting: set[str] = field(default_factory=set)
 
     def load_of(self, name: str) -> UpstreamLoad:
         """Return the load of an upstream."""
@@ -222,6 +237,39 @@
         load.unreported_declines += int(declined)
         load.unreported_service_time_s += service_time_s or 0.0
 
+    def record_reported(
+        self,
+        name: str,
+        in_flight: int | None,
+        pace: float | None,
+        *,
+        declined: bool,
+        now: timedelta,
+    ) -> None:
+        """Record the load that an upstream reported in an answer.
+
+        Parameters
+        ----------
+        name : str
+        in_flight : int or None
+            Requests at the upstream from all instances; None if the answer didn't tell.
+        pace : float or None
+            Time that work takes relative to the usual one; None if the answer didn't tell.
+        declined : bool
+            Whether the answer declined the request.
+        now : timedelta
+        """
+        load = self.load_of(name)
+        if declined:
+            load.reported.declined_at = now
+        if in_flight is not None:
+            load.others_in_flight = load.reported.others_in_flight(
+                in_flight, load.own_in_flight, load.others_in_flight, now
+            )
+            self._reporting.add(name)
+        if pace is not None:
+            load.reported.record_pace(pace, now)
+
     def record_unreachable(
         self, incarnation: UpstreamIncarnation, service: str, now: timedelta
     ) -> None:
@@ -276,25 +324,38 @@
         self._totals_number += 1
 
     def expire_totals(self, now: timedelta) -> None:
-        """Reset the other instances' requests in flight if the last totals are too old."""
+        """Drop the other instances' requests in flight by totals or reports that are too old."""
+        self._expire_reports(now)
         if self._find_total is not None and now - self._totals_at > TOTALS_LIFETIME:
             self._find_total = None
             self._totals_number += 1
 
-    def set_others_in_flight(self, counts: Mapping[str, int]) -> None:
+    def _expire_reports(self, now: timedelta) -> None:
+        for name in list(self._reporting):
+            load = self.loads.get(name)
+            if load is None:
+                self._reporting.discard(name)
+            elif now - load.reported.reported_at > REPORT_LIFETIME - CHECK_INTERVAL:
+                self._reporting.discard(name)
+                load.others_in_flight = load.reported.totals_others
+
+    def set_others_in_flight(self, counts: Mapping[str, int], now: timedelta) -> None:
         """Set the other instances' requests in flight by upstream, as counted by the leader."""
         self._find_total = None
+        self._totals_at = now
+        self._expire_reports(now)
         self._totals_number += 1
         for name, load in self.loads.items():
-            load.others_in_flight = counts.get(name, 0)
+            load.set_totals_others(counts.get(name, 0), now)
             load.totals_number = self._totals_number
 
     def _apply_total(self, name: str, load: UpstreamLoad) -> None:
         load.totals_number = self._totals_number
         total = self._find_total(name) if self._find_total is not None else None
         if total is None:
-            load.others_in_flight = 0
+            load.set_totals_others(0, self._totals_at)
             return
-        load.others_in_flight = max(0, total.in_flight - load.reported_in_flight)
+        others = max(0, total.in_flight - load.reported_in_flight)
+        load.set_totals_others(others, self._totals_at)
         if total.service_time:
             load.service_time_s = total.service_time.total_seconds()
--- a/laburnumhatch/platform/configuration.py
+++ b/laburnumhatch/platform/configuration.py
@@ -1,6 +1,5 @@
 """Decoder of the operator's configuration document."""
 
-import math
 import re
 from datetime import timedelta
 from typing import Annotated, Any, NamedTuple
@@ -211,7 +210,7 @@
     if value is None:
         return None
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or not 0 < value <= MAX_NUMBER:
+    if not is_number or not 0 < value <= MAX_NUMBER:
         _warn_left_out(f"services.{service}.warmup_per_s", value)
         return None
     return float(value)
--- a/laburnumhatch/platform/headers.py
+++ b/laburnumhatch/platform/headers.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import NamedTuple
 
 __all__ = [
     "ATTEMPT_ID",
@@ -16,9 +17,12 @@
     "REQUEST_LIMIT",
     "RETRY_AFTER",
     "SEAL",
+    "SERVER_LOAD",
     "STORE_GENERATION",
     "UPSTREAM_NAME",
+    "WARMUP_LEFT",
     "Headers",
+    "ServerLoad",
     "find_header",
     "is_leaving",
     "is_not_run",
@@ -26,7 +30,9 @@
     "parse_key",
     "parse_request_limit",
     "parse_retry_after",
+    "parse_server_load",
     "parse_store_generation",
+    "parse_remaining_warmup",
 ]
 
 Headers = Iterable[tuple[bytes, bytes]]
@@ -55,6 +61,11 @@
 KEY = b"x-shard-key"
 # Token that refers to the state that the previous owner of some keys leaves to the next owner.
 HANDOVER = b"x-handover"
+# Requests that an upstream runs and queues, its slots, and optionally how long work takes on its
+# machine now, where 100 is usual: four whole numbers with commas between them.
+SERVER_LOAD = b"x-server-load"
+# Milliseconds that are left of an upstream's warm-up, in answers to health checks.
+WARMUP_LEFT = b"x-warmup-ms"
 
 # Number, in all answers of the store, that rises each time the store has come back from an older
 # copy of itself.
@@ -67,6 +78,11 @@
 MAX_RETRY_AFTER = timedelta(seconds=60)
 # Largest limit that is taken for one, in requests per second. No upstream serves as many.
 MAX_REQUEST_LIMIT = 1e6
+# Largest figures that are taken for what they say.
+MAX_LOAD_COUNT = 1_000_000
+MAX_PACE = 10_000
+USUAL_PACE = 100
+MAX_WARMUP_MS = 24 * 3_600_000
 # Status with which an upstream answers if it is not the expected one or doesn't hold the
 # request's key.
 MISDIRECTED = 421
@@ -129,6 +145,62 @@
     return pause or None
 
 
+class ServerLoad(NamedTuple):
+    """Load that an upstream reports; each figure is None if it is missing or invalid.
+
+    Attributes
+    ----------
+    running, waiting, slots : int or None
+        Requests of all instances that the upstream runs and queues, and its slots.
+    pace : float or None
+        Time that work takes relative to the usual one.
+    is_valid : bool
+        Whether all figures that are present are valid.
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace: float | None
+    is_valid: bool
+
+    @property
+    def in_flight(self) -> int | None:
+        """Requests at the upstream, or None unless both counts are known."""
+        if self.running is None or self.waiting is None:
+            return None
+        return self.running + self.waiting
+
+
+def parse_server_load(value: bytes | None) -> ServerLoad | None:
+    """Return the load that an upstream reports, without invalid figures; None without a report."""
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) not in (3, 4):
+        return ServerLoad(None, None, None, None, False)
+    running, waiting, slots = (_parse_count(part, MAX_LOAD_COUNT) for part in parts[:3])
+    pace = _parse_count(parts[3], MAX_PACE) if len(parts) == 4 else None
+    is_valid = None not in (running, waiting, slots) and (len(parts) == 3 or bool(pace))
+    return ServerLoad(running, waiting, slots, pace / USUAL_PACE if pace else None, is_valid)
+
+
+def _parse_count(text: bytes, maximum: int) -> int | None:
+    text = text.strip()
+    if not text.isdigit() or len(text) > 9:
+        return None
+    count = int(text)
+    return count if count <= maximum else None
+
+
+def parse_remaining_warmup(value: bytes | None) -> timedelta | None:
+    """Return the rest of an upstream's warm-up, or None if the value is missing or invalid."""
+    if value is None:
+        return None
+    milliseconds = _parse_count(value, MAX_WARMUP_MS)
+    return timedelta(milliseconds=milliseconds) if milliseconds is not None else None
+
+
 def parse_store_generation(value: bytes | None) -> int | None:
     """Return the store's generation, or None if the value is missing or invalid."""
     if value is None or not value.strip().isdigit() or len(value) > 9:
--- a/laburnumhatch/platform/order_sender.py
+++ b/laburnumhatch/platform/order_sender.py
@@ -45,13 +45,19 @@
     caller : HttpCaller
     on_leaving : callable
         Called with the incarnation of an upstream whose answer says that it leaves.
+    on_health_answer : callable, optional
+        Called with the incarnation of an upstream and the fields of its answer to a health check.
     """
 
     def __init__(
-        self, caller: HttpCaller, on_leaving: Callable[[UpstreamIncarnation], None]
+        self,
+        caller: HttpCaller,
+        on_leaving: Callable[[UpstreamIncarnation], None],
+        on_health_answer: Callable[[UpstreamIncarnation, HeaderFields], None] = lambda *_: None,
     ) -> None:
         self._caller = caller
         self._on_leaving = on_leaving
+        self._on_health_answer = on_health_answer
 
     async def send(
         self,
@@ -125,6 +131,7 @@
             return False
         if find_header(response.fields, UPSTREAM_NAME) != upstream.name.encode():
             return False
+        self._on_health_answer(upstream, response.fields)
         if is_leaving(response.fields):
             self._on_leaving(upstream)
         return True
--- a/laburnumhatch/platform/tests/test_configuration.py
+++ b/laburnumhatch/platform/tests/test_configuration.py
@@ -4,6 +4,7 @@
 import json
 from datetime import timedelta
 
+import logbook
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -122,6 +123,41 @@
         decode_configuration(encode_with(path, value))
 
 
+@pytest.mark.parametrize(("value", "rate_per_s"), [(5.6, 5.6), (7, 7.0)])
+def test_pace_of_a_warmup_is_decoded(value, rate_per_s):
+    table = decode_configuration(encode_with(("services", "lovo22d", "warmup_per_s"), value))
+    assert table.services["lovo22d"].warmup_per_s == rate_per_s
+    assert table.services["wuno96b"].warmup_per_s is None
+    table = decode_configuration(encode_with(("services", "lovo22d", "warmup"), "2.5s"))
+    assert table.services["lovo22d"].warmup == timedelta(seconds=2.5)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("warmup_per_s", "5.6"),
+        ("warmup_per_s", 0),
+        ("warmup_per_s", -1),
+        ("warmup_per_s", True),
+        ("warmup_per_s", []),
+        ("warmup_per_s", 1e300),
+        pytest.param("warmup_per_s", 10**400, id="too large for a float"),
+        ("warmup", 3),
+        ("warmup", "soon"),
+        ("warmup", "90000s"),
+        ("warmup", {}),
+    ],
+)
+def test_odd_value_of_a_warmup_is_left_out_with_one_warning(field, value):
+    # It must not make the whole document invalid.
+    with logbook.TestHandler() as handler:
+        table = decode_configuration(encode_with(("services", "lovo22d", field), value))
+    service = table.services["lovo22d"]
+    assert service.warmup_per_s is None and not service.warmup
+    (record,) = handler.records
+    assert f"services.lovo22d.{field}" in record.message
+
+
 @given(st.integers(min_value=0, max_value=len(json.dumps(VALID_DOCUMENT)) - 1))
 def test_a_truncated_document_is_rejected(length):
     with pytest.raises(DocumentInvalid):
--- a/laburnumhatch/platform/tests/test_names.py
+++ b/laburnumhatch/platform/tests/test_names.py
@@ -9,7 +9,7 @@
 PLATFORM_NAMES = re.compile(
     r"X-(Attempt-Id|Deadline-Ms|Response-Seal|Expect-Instance|Not-Executed|Instance-Id|Shard-Key"
     r"|Handover)|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|traffic_split|route_type"
-    r"|latency_goal|warmup_left|LABURNUMHATCH_CONFIG|hold_time|Store-Era|Server-(Leaving|Limit)",
+    r"|latency_goal|warmup_left|LABURNUMHATCH_CONFIG|hold_time|Store-Era|Server-(Leaving|Limit|Load)|X-Warmup-Ms",
 )
 
 
