Ask for fewer permits the more instances there are, and describe warm-ups

62 instances that ask again 0.3 s after a denial ask for 200 permits a second where 5.6 are granted, and each denied request waits for the answer first. They ask for about ten times the rate now. Lists without an upstream are sent four times only.

--- a/laburnumhatch/coordination/announcements.py
+++ b/laburnumhatch/coordination/announcements.py
@@ -73,7 +73,9 @@
         self._limits = limits
         self._warmups = warmups
         self._likely_instance_count = likely_instance_count
-        self._warmup_sharing = WarmupSharing(warmups, lambda: is_leader() and has_authority())
+        self._warmup_sharing = WarmupSharing(
+            warmups, lambda: is_leader() and has_authority(), likely_instance_count
+        )
         warmups.on_assumed = self._on_warmup_assumed
         self._permits = Permits(clock, links, self, leader_name, is_leader)
         links.add_handler(WarmupReport, self._handle_warmup_report)
@@ -178,7 +180,7 @@
 
     def _update_warmups(self, peers: Iterable[str]) -> None:
         update = self._warmup_sharing.next_update(self._clock.now())
-        if update is not None:
+        if update is not None and self._warmups.is_in_use:
             for peer in peers:
                 self._links.send(peer, update)
 
@@ -202,9 +204,9 @@
         if peer == self._leader_name():
             self._warmups.report_again()
             self._report_warmups()
-        elif self._is_leader():
+        elif self._is_leader() and self._warmups.is_in_use:
             # Known before the list of upstreams, so that the first request to one has its permit.
-            self._update_warmups([peer])
+            self._links.send(peer, self._warmup_sharing.whole_update(self._clock.now()))
             self._report_leaving(self._registry_view.leaving())
 
     def _handle_limit_report(self, peer: str, report: LimitReport) -> None:
--- a/laburnumhatch/coordination/warmup_sharing.py
+++ b/laburnumhatch/coordination/warmup_sharing.py
@@ -3,12 +3,20 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from ..clocks import milliseconds
 from ..placement.warmups import ReportedWarmup, Warmups
-from .limit_sharing import DENIAL_LIFETIME
 from .messages import AnsweringUpstream, WarmingUpstream, WarmupReport, WarmupUpdate
 
 __all__ = ["WarmupSharing"]
 
+# Time after a denied permit for which this instance asks for none: a minimum, a maximum, and in
+# between as long as all instances together ask for this many times the rate. Each instance has one
+# request in many to send, and each denied one waits for the answer before it goes elsewhere.
+MIN_DENIAL_LIFETIME = milliseconds(300)
+MAX_DENIAL_LIFETIME = milliseconds(2000)
+QUESTIONS_PER_PERMIT = 10.0
+# Number of updates without an upstream that follow one with any; streams deliver each.
+EMPTY_UPDATES = 4
 ZERO = timedelta()
 
 
@@ -20,11 +28,20 @@
     warmups : Warmups
     may_grant : callable
         Returns whether this instance leads and no other one can do so now.
+    instance_count : callable
+        Returns the number of instances.
     """
 
-    def __init__(self, warmups: Warmups, may_grant: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        warmups: Warmups,
+        may_grant: Callable[[], bool],
+        instance_count: Callable[[], int],
+    ) -> None:
         self._warmups = warmups
         self._may_grant = may_grant
+        self._instance_count = instance_count
+        self._empty_updates = 0
         # By upstream, until when this instance asks for no permit.
         self._denied_until: dict[str, timedelta] = {}
 
@@ -51,9 +68,13 @@
         return not known.issuperset(self._warmups.names)
 
     def next_update(self, now: timedelta) -> WarmupUpdate | None:
-        """Return the leader's update, or None if no service bounds such requests."""
-        if not self._warmups.is_in_use:
-            return None
+        """Return the leader's update, or None if there has been nothing to tell for a while."""
+        update = self.whole_update(now)
+        self._empty_updates = 0 if update.upstreams else self._empty_updates + 1
+        return update if self._empty_updates <= EMPTY_UPDATES else None
+
+    def whole_update(self, now: timedelta) -> WarmupUpdate:
+        """Return the leader's update for an instance that has just connected."""
         return WarmupUpdate(_to_messages(self._warmups.all_reported(now), now))
 
     def apply_update(self, update: WarmupUpdate, now: timedelta) -> None:
@@ -80,7 +101,12 @@
     def note_denied_permit(self, name: str, now: timedelta) -> None:
         """Ask for no further permit for a while, so that the leader isn't flooded."""
         self._denied_until = {n: until for n, until in self._denied_until.items() if until > now}
-        self._denied_until[name] = now + DENIAL_LIFETIME
+        rate_per_s = self._warmups.rate_per_s(name, now)
+        lifetime = MIN_DENIAL_LIFETIME
+        if rate_per_s:
+            seconds = self._instance_count() / (rate_per_s * QUESTIONS_PER_PERMIT)
+            lifetime = min(max(lifetime, timedelta(seconds=seconds)), MAX_DENIAL_LIFETIME)
+        self._denied_until[name] = now + lifetime
 
 
 def _to_messages(
