Report leaving upstreams on connection again, and trust no older registry

Registrations in a store that has come back from an older copy say what was true before, so for 1 s they end no warm-up. An answer that breaks off no longer counts as one after a failure. Questions for permits to a former leader are ended when the next leader is asked.

--- a/laburnumhatch/coordination/announcements.py
+++ b/laburnumhatch/coordination/announcements.py
@@ -204,10 +204,10 @@
         if peer == self._leader_name():
             self._warmups.report_again()
             self._report_warmups()
+            self._report_leaving(self._registry_view.leaving())
         elif self._is_leader() and self._warmups.is_in_use:
             # Known before the list of upstreams, so that the first request to one has its permit.
             self._links.send(peer, self._warmup_sharing.whole_update(self._clock.now()))
-            self._report_leaving(self._registry_view.leaving())
 
     def _handle_limit_report(self, peer: str, report: LimitReport) -> None:
         if self._is_leader():
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -513,6 +513,7 @@
         self._leadership.begin_generation(generation, now)
         self._reader.forget_ages()
         self.registry_view.begin_grace(now)
+        self._load_tracker.warmups.distrust_registry(now)
         leader = self._leader
         if leader is not None and self._leadership.awaits_witnesses:
             _log.info(
--- a/laburnumhatch/coordination/permits.py
+++ b/laburnumhatch/coordination/permits.py
@@ -77,6 +77,7 @@
         that is sent at once.
         """
         leader, question = self._leader_name(), _Question(on_answer)
+        self._end_questions(lambda asked: asked != leader)
         questions = self._questions.setdefault((leader, upstream), deque())
         questions.append(question)
         if self._links.send(leader, PermitRequest(upstream)):
@@ -95,8 +96,14 @@
 
     def _on_connected(self, peer: str) -> None:
         """End the questions that were asked on a former stream."""
-        for leader, upstream in [key for key in self._questions if key[0] == peer]:
-            for question in self._questions.pop((leader, upstream)):
+        self._end_questions(lambda asked: asked == peer)
+
+    def _end_questions(self, is_lost: Callable[[str], bool]) -> None:
+        """End the questions to leaders from which no answer comes any more."""
+        lost = [key for key in self._questions if is_lost(key[0])]
+        # Removed first, since a receiver may ask again.
+        for upstream, questions in [(key[1], self._questions.pop(key)) for key in lost]:
+            for question in questions:
                 self._end(upstream, question, False)
 
     def _handle_request(self, peer: str, request: PermitRequest) -> None:
--- a/laburnumhatch/coordination/tests/test_departures.py
+++ b/laburnumhatch/coordination/tests/test_departures.py
@@ -146,3 +146,17 @@
 def test_read_in_the_future_is_no_valid_report():
     with pytest.raises(ValueError, match="negative"):
         RegistryReadReport(timedelta(seconds=-1))
+
+
+def test_leader_is_told_of_leaving_upstreams_by_each_instance_that_connects(clock):
+    # The instance may have seen the announcement while it had no stream to the leader.
+    cluster = Cluster(clock)
+    cluster.upstreams.add("u1", "u2")
+    cluster.add("a", "b", "c")
+    cluster.run(4)
+    (leader,) = cluster.leaders()
+    follower = next(m for name, m in cluster.members.items() if name != leader)
+    incarnation = follower.registry_view.upstreams["u1"].incarnation
+    assert follower.registry_view.mark_leaving(incarnation)
+    follower.announcements._on_connected(leader)
+    assert cluster.members[leader].registry_view.leaving() == [incarnation]
--- a/laburnumhatch/coordination/tests/test_permits.py
+++ b/laburnumhatch/coordination/tests/test_permits.py
@@ -17,7 +17,8 @@
         self.links = MemoryLinks(network, name)
         self.limits = RequestLimits()
         sharing = LimitSharing(self.limits, lambda: 100, self.is_leader)
-        self.permits = Permits(clock, self.links, sharing, lambda: "leader", self.is_leader)
+        self.leader = "leader"
+        self.permits = Permits(clock, self.links, sharing, lambda: self.leader, self.is_leader)
         self.sharing = sharing
         self.answers = []
 
@@ -80,6 +81,18 @@
     assert other.answers == [False, True]
 
 
+def test_questions_to_a_former_leader_are_denied_before_the_next_are_asked(instances):
+    # Each may be followed by another question.
+    leader, other = instances
+    leader.links.handlers[PermitRequest] = lambda peer, request: None
+    for upstream in ("u", "v"):
+        other.permits.request(upstream, lambda granted: other.permits.request("w", print))
+    other.leader = "successor"
+    other.ask()
+    assert other.answers == [False]
+    assert {asked for asked, _ in other.permits._questions} == {"successor"}
+
+
 def test_questions_on_a_stream_that_was_replaced_are_denied(instances):
     leader, other = instances
     leader.links.handlers[PermitRequest] = lambda peer, request: None
--- a/laburnumhatch/gateway/attempt.py
+++ b/laburnumhatch/gateway/attempt.py
@@ -69,7 +69,8 @@
     upstream, now = attempt.upstream, gateway.clock.now()
     load_tracker = gateway.load_tracker
     load_tracker.load_of(upstream.name).own_in_flight -= 1
-    if attempt.sent_at is not None and attempt.status not in (0, MISDIRECTED):
+    has_answered = attempt.status not in (0, MISDIRECTED) and not outcome.is_connection_lost
+    if has_answered and attempt.sent_at is not None:
         load_tracker.warmups.note_answered(upstream.name, attempt.sent_at)
     if outcome.is_unreachable:
         load_tracker.record_unreachable(upstream.incarnation, upstream.service, now)
--- a/laburnumhatch/placement/tests/test_warmups.py
+++ b/laburnumhatch/placement/tests/test_warmups.py
@@ -128,6 +128,15 @@
     assert warmups.names == ["u3"]
 
 
+def test_registry_that_comes_back_from_an_older_copy_ends_no_warmup(warmups):
+    read(warmups, 110, warmup_remaining=at(20))
+    warmups.distrust_registry(at(112))
+    read(warmups, 112.5)
+    assert is_warming(warmups, 112.5)
+    read(warmups, 113)
+    assert not is_warming(warmups, 113)
+
+
 def test_upstream_that_is_used_again_is_warm_by_a_registration_after_that(warmups):
     warmups.assume(["u1", "unknown"], at(110))
     assert warmups.names == ["u1"]
--- a/laburnumhatch/placement/warmups.py
+++ b/laburnumhatch/placement/warmups.py
@@ -105,6 +105,8 @@
     _incarnations: dict[str, UpstreamIncarnation] = field(default_factory=dict)
     # The leader's list, as far as its upstreams aren't registered yet at this instance.
     _listed: dict[str, ReportedWarmup] = field(default_factory=dict)
+    # Reads that were sent before may show registrations from before a beginning.
+    _trusted_from: timedelta = timedelta()
     _first_read_at: timedelta | None = None
     _absent_since: dict[str, timedelta] = field(default_factory=dict)
 
@@ -181,6 +183,10 @@
         if self._listed:
             self.apply_list(self._listed, now, is_whole=False)
 
+    def distrust_registry(self, now: timedelta) -> None:
+        """End no warm-up until all have reported again, since the registry is an older copy."""
+        self._trusted_from = now + REPORT_INTERVAL
+
     def observe_warmup(self, upstream: Upstream, remaining: timedelta, now: timedelta) -> None:
         """Apply the rest of a warm-up that an upstream itself states; zero says nothing."""
         if self.allowance is not None and upstream.service in self._services and remaining:
@@ -337,6 +343,8 @@
 
     def _is_reported(self, warming: _WarmingUpstream, read_at: timedelta) -> bool:
         """Return whether a registration was reported after all that tells of a warm-up."""
+        if read_at < self._trusted_from:
+            return False
         since = warming.answered_at if warming.awaits_answer else warming.since
         return since is not None and read_at - since >= REPORT_INTERVAL
 
