Let a connection hand over several pipelined requests, and send their responses in order

Change: each request has an h11 connection of its own, from when the one before has been received. A factory with max_requests above 1 hands over up to so many requests at once; the default stays 1, so other servers and their tests see one request at a time, as before. A response that waits for an earlier one is kept, counted as HeldKind.WAITING_ANSWER, and its writer is paused above 256 KiB per connection or half of the budget. A response that closes the connection cancels the requests behind it. A body behind an unanswered request isn't read. received_at is the arrival of the header. CallerRequest has is_first and when_first. Bytes behind a request with Connection: close are left unread; before, they replaced its response by a 400.

Tests: transport/tests/test_pipelining.py.

--- a/laburnumhatch/transport/__init__.py
+++ b/laburnumhatch/transport/__init__.py
@@ -2,13 +2,14 @@
 
 from .caller_request import CallerRequest
 from .http_caller import CallFailed, HttpCaller, Response
-from .inbound import CallerConnection, CallerFactory
+from .inbound import MAX_REQUESTS_AHEAD, CallerConnection, CallerFactory
 from .memory_budget import HeldKind, MemoryBudget, held_bytes_limit
 from .outbound import CallFailure, FailureKind, OutboundRequest, ResponseReceiver
 from .pool import ConnectionPool, PooledCall
 from .request_body import RequestBody
 
 __all__ = [
+    "MAX_REQUESTS_AHEAD",
     "CallFailed",
     "CallFailure",
     "CallerConnection",
--- a/laburnumhatch/transport/memory_budget.py
+++ b/laburnumhatch/transport/memory_budget.py
@@ -35,6 +35,7 @@
     STREAMED_BODY = "streamed request bodies"
     ANSWER = "answers"
     UNSENT = "unsent answers"
+    WAITING_ANSWER = "answers that wait for earlier ones"
 
 
 class BodyHandling(Enum):
