Hand the gateway 16 pipelined requests of a connection at a time

Cause: requests waited unread for slow ones before them on their connection, and used up their objective.

Change: the callers' port hands over up to 16 requests. A request on a route that may not be repeated waits, with its deadline running, until it is the first unanswered one on its connection: an earlier response may close the connection, and the caller then sends the request again. A stopping instance answers all requests that it handles, and the last answer closes the connection.

FakeRequest has is_first, which is true, since its connections carry one request.

--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -29,6 +29,7 @@
 from ..telemetry.bounded_stream import BoundedStream
 from ..telemetry.logs import start_logging
 from ..transport import (
+    MAX_REQUESTS_AHEAD,
     CallerFactory,
     CallerRequest,
     ConnectionPool,
@@ -134,15 +135,20 @@
             memory=MemoryBudget(held_bytes_limit(_memory_bytes(settings))),
         )
         self._pool = pool
-        self._callers = self._caller_factory(self._gateway.handle, self._gateway.limits)
+        self._callers = self._caller_factory(
+            self._gateway.handle, self._gateway.limits, MAX_REQUESTS_AHEAD
+        )
 
     def _caller_factory(
         self,
         handle: Callable[[CallerRequest], None],
         limits: Callable[[], CallerLimits],
+        max_requests: int = 1,
     ) -> CallerFactory:
         gateway = self._gateway
-        return CallerFactory(self._clock, handle, limits, gateway.memory, gateway.refuse_for_memory)
+        return CallerFactory(
+            self._clock, handle, limits, gateway.memory, gateway.refuse_for_memory, max_requests
+        )
 
     def start(self) -> None:
         """Open the listening ports and start to read the store."""
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -76,6 +76,7 @@
 
 class _State(Enum):
     PLACING = "placing"
+    WAITING_TO_BE_FIRST = "waiting for earlier requests"
     WAITING_FOR_OWNER = "waiting for an owner"
     WAITING_FOR_PERMIT = "waiting for a permit"
     SENT = "sent"
@@ -151,6 +152,20 @@
             self._deadline + UPSTREAM_ANSWER_GRACE - gateway.clock.now(),
             self._on_deadline,
         )
+        if route.is_repeatable or request.is_first:
+            self._place(route)
+        else:
+            # An earlier response may close the connection. The caller then sends the request again.
+            self._state = _State.WAITING_TO_BE_FIRST
+            request.when_first(partial(self._on_first, route))
+
+    def _on_first(self, route: Route) -> None:
+        if self._state is _State.WAITING_TO_BE_FIRST:
+            self._place(route)
+
+    def _place(self, route: Route) -> None:
+        """Send the request to an upstream, or pass it on to another instance."""
+        self._state = _State.PLACING
         if self._may_relay() and self._gateway.relays.choose(self._service, ()) is not None:
             # The other instance counts the request.
             self._dispatch()
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -59,6 +59,7 @@
         self.is_complete = False
         self.is_truncated = False
         self.has_unread_close = False
+        self.is_first = True
 
     def is_caller_connected(self):
         return self.is_open and not self.has_unread_close
--- a/laburnumhatch/gateway/tests/test_planned_stop.py
+++ b/laburnumhatch/gateway/tests/test_planned_stop.py
@@ -174,3 +174,17 @@
     harness.pool.last.decline()
     assert len(harness.pool.calls) == 1
     assert request.status == 503 and b'"run":"no"' in request.content
+
+
+def test_pipelined_requests_that_are_handled_are_all_answered_before_the_stop(instance, clock):
+    caller = Caller(instance.reactor)
+    safe = HEAD.replace(b"/unsafe/", b"/safe/")
+    caller.send((safe + b"\r\n") * 2)
+    assert instance.daemon._gateway.in_flight == 2
+    instance.daemon.stop()
+    caller.send(safe + b"\r\n")
+    for _ in range(60):
+        clock.advance(milliseconds(100))
+    answers = caller.transport.value().lower().split(b"http/1.1 ")[1:]
+    assert [answer[:3] for answer in answers] == [b"503", b"503"]
+    assert [b"connection: close" in answer for answer in answers] == [False, True]
