Bound the requests that run beside unanswered ones over all connections

Cause: the state of requests in flight isn't counted in the memory budget.

Change: a request behind an unanswered one counts with 40 KiB in the budget (35 MB by some 900 requests more in flight), and none is begun while these and the answers that wait use 20 in 100 of it. Beyond that a request waits for the one before, as without pipelining.

Tests: test_requests_begun_behind_others_are_bounded_over_all_connections.

--- a/laburnumhatch/transport/memory_budget.py
+++ b/laburnumhatch/transport/memory_budget.py
@@ -25,6 +25,12 @@
 # Share of the budget above which answers are forwarded as they arrive, instead of being held back
 # until they are complete.
 ANSWERS_SHARE = 0.5
+# Share of the budget that requests behind unanswered ones of their connections may use with their
+# answers. It is a part of what long bodies leave, and small requests need the rest.
+PIPELINED_SHARE = 0.2
+# What a request in flight needs with its state, its timers and its connection to an upstream, as
+# measured with 960 of them in flight.
+REQUEST_STATE_BYTES = 40_960
 
 
 class HeldKind(StrEnum):
@@ -36,6 +42,7 @@
     ANSWER = "answers"
     UNSENT = "unsent answers"
     WAITING_ANSWER = "answers that wait for earlier ones"
+    REQUEST_BEHIND = "requests behind unanswered ones"
 
 
 class BodyHandling(Enum):
@@ -97,6 +104,14 @@
         """Whether answers may be held back until they are complete."""
         return self.limit is None or self.total < self.limit * ANSWERS_SHARE
 
+    @property
+    def may_begin_behind(self) -> bool:
+        """Whether a request may be handled beside an unanswered one of its connection."""
+        if self.limit is None:
+            return True
+        pipelined = self.held[HeldKind.WAITING_ANSWER] + self.held[HeldKind.REQUEST_BEHIND]
+        return not self.is_exhausted and pipelined < self.limit * PIPELINED_SHARE
+
     def choose_handling(self, length: int | None) -> BodyHandling:
         """Decide what happens to the body of a request.
 
--- a/laburnumhatch/transport/request_queue.py
+++ b/laburnumhatch/transport/request_queue.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from .memory_budget import HeldKind, MemoryBudget
+from .memory_budget import REQUEST_STATE_BYTES, HeldKind, MemoryBudget
 from .request_cycle import RequestCycle
 
 __all__ = ["RequestQueue"]
@@ -25,6 +25,7 @@
         self._memory = memory
         self._cycles: deque[RequestCycle] = deque()
         self._waiting_bytes = 0
+        self._counted_behind = 0
 
     def __len__(self) -> int:
         return len(self._cycles)
@@ -42,7 +43,7 @@
     @property
     def holds_too_much(self) -> bool:
         """Whether no further request may be begun behind the ones in the queue."""
-        return self._waiting_bytes >= MAX_WAITING_BYTES or self._memory.is_exhausted
+        return self._waiting_bytes >= MAX_WAITING_BYTES or not self._memory.may_begin_behind
 
     @property
     def should_pause_waiting(self) -> bool:
@@ -52,12 +53,14 @@
     def append(self, cycle: RequestCycle) -> None:
         """Add a request behind the others."""
         self._cycles.append(cycle)
+        self._count_behind()
 
     def replace_first(self, cycle: RequestCycle | None) -> RequestCycle:
         """Remove the first request, add `cycle` if none is left, and return the next one."""
         self._cycles.popleft()
         if cycle is not None:
             self._cycles.append(cycle)
+        self._count_behind()
         return self._cycles[0]
 
     def count_waiting(self, change: int) -> None:
@@ -79,15 +82,23 @@
         dropped = []
         while self._cycles[-1] is not cycle:
             dropped.append(self._cycles.pop())
+        self._count_behind()
         for follower in reversed(dropped):
             follower.drop()
 
     def drop_all(self) -> None:
         """Drop all requests."""
-        for cycle in list(self._cycles):
-            cycle.drop()
+        self.first.drop()
+        self.drop_behind(self.first)
 
     def update_writers(self) -> None:
         """Pause or resume the writers of the responses."""
         for cycle in list(self._cycles):
             cycle.update_writer()
+
+    def _count_behind(self) -> None:
+        behind = len(self._cycles) - 1
+        if behind != self._counted_behind:
+            change = (behind - self._counted_behind) * REQUEST_STATE_BYTES
+            self._counted_behind = behind
+            self._memory.add(HeldKind.REQUEST_BEHIND, change)
--- a/laburnumhatch/transport/tests/test_pipelining.py
+++ b/laburnumhatch/transport/tests/test_pipelining.py
@@ -10,7 +10,13 @@
 from ...clocks import milliseconds
 from ...fleet import CallerLimits
 from ..inbound import MAX_REQUESTS_AHEAD, CallerFactory
-from ..memory_budget import MEBIBYTE, HeldKind, MemoryBudget
+from ..memory_budget import (
+    MEBIBYTE,
+    PIPELINED_SHARE,
+    REQUEST_STATE_BYTES,
+    HeldKind,
+    MemoryBudget,
+)
 from ..outbound import MAX_EVENTS_PER_TURN
 from ..request_queue import MAX_WAITING_BYTES
 
@@ -141,6 +147,21 @@
     assert caller.answers() == [b"/%d" % n for n in range(200)]
 
 
+def test_requests_begun_behind_others_are_bounded_over_all_connections(clock, new_transport):
+    memory = MemoryBudget(16 * MEBIBYTE)
+    callers = [Caller(clock, new_transport(), memory) for _ in range(100)]
+    for caller in callers:
+        caller.send(get(*range(10)))
+    begun = sum(len(caller.requests) for caller in callers)
+    assert all(caller.requests for caller in callers) and 150 < begun < 200
+    assert memory.total <= memory.limit * PIPELINED_SHARE + REQUEST_STATE_BYTES
+    for caller in callers:
+        for index in range(10):
+            caller.answer(index)
+        assert caller.answers() == [b"/%d" % n for n in range(10)]
+    assert not memory.total
+
+
 # Answers that close the connection.
 
 
