Evacuate data centres that the operator names in the store

Cause: a row evacuate/DATA_CENTRE in the table of the configuration had no effect; requests went on to its upstreams.

Change: one call reads the table of the configuration. The leader passes the evacuated data centres on in the new message EvacuationUpdate; a member that hears no leader, or one of a former build, reads them itself. RegistryView marks the upstreams (Upstream.is_evacuated), which isn't remembered as a departure is. The leader moves their keys with the handover; the gateway leaves them out of its choice, sends owners nothing 2.2 s after it learned of the evacuation, and refuses requests for keys that are still there at once. A service that would have no upstream left is served on. A row that can't be decoded is left out of the read instead of making the answer invalid.

Tested: coordination, gateway, platform, fleet, keyspace; leader lost, store down, link cut, all data centres, take-back, odd rows.

--- a/laburnumhatch/coordination/demand.py
+++ b/laburnumhatch/coordination/demand.py
@@ -31,7 +31,7 @@
         """Return the reservations of all services."""
         slots: dict[str, int] = {}
         for upstream in upstreams:
-            if not upstream.is_draining:
+            if not upstream.is_draining and not upstream.is_evacuated:
                 slots[upstream.service] = slots.get(upstream.service, 0) + upstream.slots
         planned = []
         for service, rates in self._rates.items():
--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -392,6 +392,7 @@
             for upstream in self._upstreams.values()
             if upstream.service == service
             and not upstream.is_draining
+            and not upstream.is_evacuated
             and upstream.incarnation not in self._unresponsive
         }
 
@@ -406,6 +407,8 @@
             return "it has restarted"
         if upstream.is_draining:
             return "it is draining"
+        if upstream.is_evacuated:
+            return "its data centre is evacuated"
         return "it does not answer grants"
 
     def _update_unresponsive(
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -14,6 +14,7 @@
 from .announcements import Announcements
 from .broadcast import Broadcaster
 from .candidacy import Candidacy
+from .evacuations import Evacuations
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
 from .load_summary import LoadSummary
@@ -102,6 +103,8 @@
         Limits on requests for busy keys, by service.
     announcements : Announcements
         What upstreams announced in their answers.
+    evacuations : Evacuations
+        The evacuated data centres.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
                 self._handle_configuration,
                 self._handle_leader_row,
                 self._handle_owner_rows,
+                lambda data_centres, as_of: self.evacuations.handle_read(data_centres, as_of),
             ),
             lambda: self.likely_instance_count,
         )
@@ -196,6 +200,15 @@
             is_leader=lambda: self.is_leader,
             on_upstreams_changed=self._on_upstreams_changed,
         )
+        self.evacuations = Evacuations(
+            clock=clock,
+            links=links,
+            registry_view=self.registry_view,
+            leader_name=lambda: self.leader_name,
+            is_leader=lambda: self.is_leader,
+            on_upstreams_changed=self._on_upstreams_changed,
+            on_news=self._schedule_update,
+        )
         self._registry_reports = RegistryReports(
             clock=clock,
             links=links,
@@ -342,6 +355,7 @@
             leader_heard_at=self._leader_heard_at,
             leader_may_act=not leadership.may_take_over(now),
             has_leader_row=(leadership.row is not None) if leadership.is_row_known else None,
+            evacuations_as_of=self.evacuations.as_of,
         )
 
     async def _sleep(self, delay: timedelta) -> None:
@@ -412,6 +426,7 @@
         self._load_tracker.retain(upstreams, self._clock.now())
         self._registry_version += 1
         self._upstream_names = sorted(upstreams)
+        self.evacuations.log_effects()
         if self._leader is not None:
             self._leader.update_fleet(self._keyed_services(), upstreams)
             self._schedule_update()
@@ -472,6 +487,7 @@
         for handler in self._leadership_handlers:
             handler()
         self._broadcaster.forget_all()
+        self.evacuations.forget_peers()
         self._summary = LoadSummary(self._load_tracker, self.reserved_slots)
         starting = Deferred.fromCoroutine(self._start_leading(leader))
         starting.addErrback(
@@ -502,6 +518,7 @@
         self._leadership.begin_generation(generation, now)
         self._reader.forget_ages()
         self.registry_view.begin_grace(now)
+        self.evacuations.begin_grace()
         leader = self._leader
         if leader is not None and self._leadership.awaits_witnesses:
             _log.info(
@@ -556,6 +573,7 @@
 
     def _on_connected(self, peer: str) -> None:
         self._broadcaster.forget(peer)
+        self.evacuations.forget_peer(peer)
         self._schedule_update()
 
     def _schedule_update(self) -> None:
@@ -599,6 +617,8 @@
         self._broadcaster.send(
             update, self._registry_version, self.registry_view.upstreams, self.ownership_maps
         )
+        # After the update, from which a receiver learns who leads.
+        self.evacuations.update_followers()
 
     def _totals(self, now: timedelta) -> Totals:
         """Count this instance's own report and return the loads over all instances."""
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -11,6 +11,7 @@
     "ConfigurationContent",
     "ConfigurationRequest",
     "CrashReport",
+    "EvacuationUpdate",
     "KeyCount",
     "KeyLimit",
     "LeaderUpdate",
@@ -449,6 +450,25 @@
             raise ValueError("the age of a read is negative")
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationUpdate:
+    """All data centres that the operator has evacuated, as the leader knows them.
+
+    Attributes
+    ----------
+    data_centres : tuple of str
+    age : timedelta
+        Time since the read that found them was sent; not negative.
+    """
+
+    data_centres: tuple[str, ...]
+    age: timedelta
+
+    def __post_init__(self) -> None:
+        if self.age < timedelta():
+            raise ValueError("the age of a read is negative")
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -469,5 +489,6 @@
         RelayPeerList,
         LeadershipYielded,
         RegistryReadReport,
+        EvacuationUpdate,
     ),
 )
--- a/laburnumhatch/coordination/reader.py
+++ b/laburnumhatch/coordination/reader.py
@@ -16,13 +16,16 @@
 from .shared_configuration import StoredConfiguration
 from .store import NotExecuted, RowsRead, RowStore, Unanswered
 
-__all__ = ["Sources", "StoreReader", "ReadHandlers"]
+__all__ = ["ConfigurationRead", "Sources", "StoreReader", "ReadHandlers"]
 
 # Time between two reads of the registry and of the configuration by the leader. It is a quarter of
 # the shortest time limit for an upstream's departure in the users' settings.
 LEADER_READ_INTERVAL = milliseconds(500)
 # Age of a member's state above which it reads the store itself.
 MAX_STATE_AGE = milliseconds(1100)
+# Age of what a member knows of evacuations above which it reads them itself, although it hears a
+# leader: one of a former build doesn't send them. Requests must end 5 s after the row was written.
+MAX_EVACUATIONS_AGE = milliseconds(2000)
 # Minimum time between two reads of the same data by any member.
 MIN_READ_INTERVAL = milliseconds(500)
 # Time between two reads of the leader's row while no updates arrive from the leader. It is longer
@@ -56,6 +59,24 @@
 _log = logbook.Logger("laburnumhatch.member")
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """Result of a read of the configuration.
+
+    Attributes
+    ----------
+    row_version : int
+    configuration : StoredConfiguration or None
+        None if there is no newer valid version than the known one.
+    evacuated : frozenset of str
+        Data centres that the operator has evacuated.
+    """
+
+    row_version: int
+    configuration: StoredConfiguration | None
+    evacuated: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Sources:
     """Functions that read the registry and the configuration.
@@ -65,9 +86,8 @@
     read_upstreams : callable
         Returns a coroutine of the upstreams, or of `NotExecuted` or `Unanswered` on failure.
     read_configuration : callable
-        Takes the known version of the row. Returns a coroutine of the row's version and the
-        `StoredConfiguration`, which is None if there is no newer valid version, or of `NotExecuted`
-        or `Unanswered` on failure.
+        Takes the known version of the row. Returns a coroutine of `ConfigurationRead`, or of
+        `NotExecuted` or `Unanswered` on failure.
     decode_configuration : callable
         Takes a document and returns the `StoredConfiguration`, or None if it is invalid.
     """
@@ -92,12 +112,16 @@
         was sent.
     on_owner_rows : callable
         Called with the rows that record the owners of the keys.
+    on_evacuated : callable
+        Called with the evacuated data centres and the instant at which the read was sent, before
+        `on_configuration`.
     """
 
     on_upstreams: Callable[[Any], None]
     on_configuration: Callable[[StoredConfiguration], None]
     on_leader_row: Callable[[Any, timedelta | None, timedelta], None]
     on_owner_rows: Callable[[Any], None]
+    on_evacuated: Callable[[frozenset[str], timedelta], None]
 
 
 class StoreReader:
@@ -156,6 +180,7 @@
         leader_heard_at: timedelta,
         leader_may_act: bool,
         has_leader_row: bool | None,
+        evacuations_as_of: timedelta,
     ) -> None:
         """Start the reads that are due.
 
@@ -169,6 +194,8 @@
             Whether the leader may still have authority.
         has_leader_row : bool or None
             Whether the store holds a leader's row; None if that is not known yet.
+        evacuations_as_of : timedelta
+            Instant as of which the evacuated data centres are known.
         """
         if not is_leader and not self.is_store_available:
             interval = PROBE_INTERVAL_PER_INSTANCE * self._instance_count()
@@ -185,7 +212,9 @@
             self._read("registry", self._read_registry, MIN_READ_INTERVAL)
         # Members other than the leader find out by one read that the store is unavailable.
         may_read_both = is_leader or "registry" not in self._active_reads
-        if now - self.configuration_as_of >= max_age and may_read_both:
+        is_evacuations_read_due = now - evacuations_as_of >= MAX_EVACUATIONS_AGE
+        is_read_due = now - self.configuration_as_of >= max_age or is_evacuations_read_due
+        if is_read_due and may_read_both:
             self.read_configuration()
         if is_leader or now - leader_heard_at < MAX_STATE_AGE:
             return
@@ -267,11 +296,11 @@
         result = await self._sources.read_configuration(self.configuration_row_version)
         if not self._check_result(result):
             return
-        version, configuration = result
         self.configuration_as_of = sent_at
-        self.configuration_row_version = max(self.configuration_row_version, version)
-        if configuration is not None:
-            self._handlers.on_configuration(configuration)
+        self.configuration_row_version = max(self.configuration_row_version, result.row_version)
+        self._handlers.on_evacuated(result.evacuated, sent_at)
+        if result.configuration is not None:
+            self._handlers.on_configuration(result.configuration)
 
     async def _read_leader_row(self) -> None:
         sent_at = self._clock.now()
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -15,7 +15,7 @@
 from ..member import Member
 from ..member_setup import MemberSetup
 from ..messages import COORDINATION_MESSAGES
-from ..reader import Sources
+from ..reader import ConfigurationRead, Sources
 from ..shared_configuration import StoredConfiguration
 from ..store import (
     Committed,
@@ -31,6 +31,8 @@
 WRITE_TIMEOUT = milliseconds(900)
 # Table and key of the configuration, whose document is its version.
 CONFIGURATION = ("configuration", "configuration")
+# Table whose keys are the evacuated data centres.
+EVACUATIONS = "evacuations"
 CODEC = Codec([LINK_MESSAGES, COORDINATION_MESSAGES])
 
 
@@ -236,7 +238,7 @@
         self.late_share = 0.0
         self.rng = random.Random(1)
 
-    def add(self, *names):
+    def add(self, *names, data_centre="d"):
         """Register upstreams."""
         for number, name in enumerate(names, 1):
             self.registered[name] = Upstream(
@@ -244,7 +246,7 @@
                 "s",
                 "127.0.0.1",
                 9000 + number,
-                "d",
+                data_centre,
                 2,
                 False,
                 timedelta(),
@@ -416,9 +418,10 @@
             if store._call_fails():
                 return NotExecuted("down")
             row = store.row(CONFIGURATION)
+            evacuated = frozenset(self.store.names(EVACUATIONS))
             if row is None or known >= row.version:
-                return known, None
-            return row.version, self._decode_configuration(row.value)
+                return ConfigurationRead(known, None, evacuated)
+            return ConfigurationRead(row.version, self._decode_configuration(row.value), evacuated)
 
         return Sources(read_upstreams, read_configuration, self._decode_configuration)
 
--- a/laburnumhatch/fleet/__init__.py
+++ b/laburnumhatch/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Routes of the active configuration, and the upstreams that serve them."""
 
+from .evacuation import spared_services
 from .knowledge import RegistryView
 from .routes import (
     CallerLimits,
@@ -25,4 +26,5 @@
     "UpstreamIncarnation",
     "WeightedService",
     "find_route",
+    "spared_services",
 ]
--- a/laburnumhatch/fleet/knowledge.py
+++ b/laburnumhatch/fleet/knowledge.py
@@ -1,9 +1,10 @@
 """Known upstreams, kept across outages of the registry."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from datetime import timedelta
 
+from .evacuation import mark_evacuated
 from .upstream import Upstream, UpstreamIncarnation
 
 __all__ = ["RegistryView"]
@@ -32,6 +33,9 @@
     upstreams : mapping of str to Upstream
         Upstreams by name. Those whose registration lapsed during an outage stay until the end of
         the grace time.
+    on_taken_back : callable
+        Called with the names of known upstreams that are no longer evacuated, before they are used.
+        They may be cold.
     """
 
     def __init__(self) -> None:
@@ -41,6 +45,9 @@
         self._grace_until: timedelta | None = None
         # In the order in which they were found.
         self._leaving: dict[UpstreamIncarnation, None] = {}
+        # Unlike a departure, an evacuation ends.
+        self._evacuated_data_centres: frozenset[str] = frozenset()
+        self.on_taken_back: Callable[[list[str]], None] = lambda names: None
 
     def apply_read(self, listed: Iterable[Upstream], now: timedelta) -> bool:
         """Update from a registry read; return whether anything but a warm-up's progress changed."""
@@ -49,9 +56,9 @@
         if self._grace_until is not None and now < self._grace_until:
             for name, upstream in self.upstreams.items():
                 upstreams.setdefault(name, replace(upstream, is_kept=True))
-        has_changed = _without_warmup_time(upstreams) != _without_warmup_time(self.upstreams)
-        self.upstreams = upstreams
-        return has_changed
+        former = self.upstreams
+        self._use(upstreams)
+        return _without_warmup_time(self.upstreams) != _without_warmup_time(former)
 
     def note_current(self, as_of: timedelta, now: timedelta) -> None:
         """Record that the upstreams were current at an instant, also if another instance read them.
@@ -73,10 +80,12 @@
         this one has seen. They aren't taken back.
         """
         known = {upstream.incarnation for upstream in self.upstreams.values()}
-        self.upstreams = self._with_announcements(
-            upstream
-            for upstream in listed
-            if not known or not upstream.is_kept or upstream.incarnation in known
+        self._use(
+            self._with_announcements(
+                upstream
+                for upstream in listed
+                if not known or not upstream.is_kept or upstream.incarnation in known
+            )
         )
 
     def mark_leaving(self, incarnation: UpstreamIncarnation) -> bool:
@@ -90,9 +99,16 @@
         upstream = self.upstreams.get(incarnation.name)
         if upstream is None or upstream.incarnation != incarnation or upstream.is_draining:
             return False
-        self.upstreams = self._with_announcements(self.upstreams.values())
+        self._use(self._with_announcements(self.upstreams.values()))
         return True
 
+    def evacuate(self, data_centres: frozenset[str]) -> bool:
+        """Evacuate these data centres and no others; return whether any upstream has changed."""
+        self._evacuated_data_centres = data_centres
+        former = self.upstreams
+        self._use(former)
+        return self.upstreams != former
+
     def leaving(self) -> list[UpstreamIncarnation]:
         """Return the known upstreams that leave."""
         known = {upstream.incarnation for upstream in self.upstreams.values()}
@@ -103,6 +119,17 @@
         if len(self._leaving) > MAX_REMEMBERED_LEAVING:
             del self._leaving[next(iter(self._leaving))]
 
+    def _use(self, upstreams: Mapping[str, Upstream]) -> None:
+        former = self.upstreams
+        self.upstreams = mark_evacuated(upstreams, self._evacuated_data_centres)
+        taken_back = [
+            name
+            for name, upstream in self.upstreams.items()
+            if not upstream.is_evacuated and name in former and former[name].is_evacuated
+        ]
+        if taken_back:
+            self.on_taken_back(taken_back)
+
     def _with_announcements(self, listed: Iterable[Upstream]) -> dict[str, Upstream]:
         listed = list(listed)
         for upstream in listed:
--- a/laburnumhatch/fleet/upstream.py
+++ b/laburnumhatch/fleet/upstream.py
@@ -42,6 +42,8 @@
         Remaining warm-up time, during which the upstream is slow.
     is_kept : bool
         Whether the registry doesn't list it at the moment, but may have lost its entry.
+    is_evacuated : bool
+        Whether it gets no new work, because the operator has its data centre evacuated.
     """
 
     incarnation: UpstreamIncarnation
@@ -53,6 +55,7 @@
     is_draining: bool
     warmup_remaining: timedelta
     is_kept: bool = False
+    is_evacuated: bool = False
 
     @property
     def name(self) -> str:
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -40,7 +40,7 @@
 from .attempt import Attempt, record_attempt
 from .deadline import UPSTREAM_ANSWER_GRACE, deadline_of
 from .outbound_request import build_outbound_request
-from .owner_lookup import find_owner, is_awaiting_lease_expiry
+from .owner_lookup import find_owner, is_awaiting_lease_expiry, is_owner_evacuated
 from .peer_call import PeerCall, PeerResult
 from .refusals import refuse
 from .relay import ResponseRelay
@@ -231,7 +231,11 @@
 
     def _find_owner(self) -> Upstream | UpstreamIncarnation | None:
         assert self._key is not None
-        return find_owner(self._gateway, self._service, self._key, self)
+        owner = find_owner(self._gateway, self._service, self._key, self)
+        if isinstance(owner, Upstream) and owner.is_evacuated and self._sends_by_upstream:
+            # Retries wait for the next owner.
+            return owner.incarnation
+        return owner
 
     def _is_awaiting_lease_expiry(self) -> bool:
         assert self._key is not None
@@ -242,6 +246,11 @@
         if self._is_awaiting_lease_expiry():
             self._refuse(ResultCode.NO_OWNER, OWNER_LOST_RETRY_AFTER)
             return
+        assert self._key is not None
+        if is_owner_evacuated(gateway, self._service, self._key):
+            detail = "the owner's data centre is evacuated"
+            self._refuse(ResultCode.NO_OWNER, NO_OWNER_RETRY_AFTER, detail)
+            return
         remaining = milliseconds(self._remaining_s() * 1000)
         assert self._route is not None
         wait = min(MAX_OWNER_WAIT, remaining / 2, self._route.latency_objective * 2)
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -39,6 +39,7 @@
 # Time for which an instance that doesn't reach a keyed service leaves the leadership to others; it
 # covers several checks of its links.
 ABSTENTION = milliseconds(1000)
+LONG_AGO = timedelta(days=-1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +95,8 @@
         self._exchanges: set[Exchange] = set()
         self._available_upstreams: dict[str, list[Upstream]] = {}
         self._draining_since: dict[str, timedelta] = {}
+        # When this instance stopped giving new work, by service and evacuated data centre.
+        self._evacuated_since: dict[tuple[str, str], timedelta] = {}
         # Instant and value of the last computed median service time in seconds, by service.
         self._medians: dict[str, tuple[timedelta, float]] = {}
         self._reserved_names: dict[tuple[str, int], frozenset[str]] = {}
@@ -191,15 +194,22 @@
         now = self.clock.now()
         by_service: dict[str, list[Upstream]] = {}
         draining = {}
+        evacuated: dict[tuple[str, str], timedelta] = {}
         for upstream in self.member.registry_view.upstreams.values():
             if upstream.is_draining:
                 draining[upstream.name] = self._draining_since.get(upstream.name, now)
-            else:
+            if upstream.is_evacuated:
+                group = upstream.service, upstream.data_centre
+                if group not in evacuated:
+                    since = self._evacuated_since.get(group)
+                    evacuated[group] = self._evacuation_start(group) if since is None else since
+            if not upstream.is_draining and not upstream.is_evacuated:
                 by_service.setdefault(upstream.service, []).append(upstream)
         self._available_upstreams = by_service
         self._reserved_names.clear()
         self._medians.clear()
         self._draining_since = draining
+        self._evacuated_since = evacuated
         routes = self.member.routes
         if routes is not None:
             route_names = {route.name for route in routes.routes}
@@ -207,6 +217,18 @@
             self.work_times.retain(route_names)
         self.dispatch_waiting()
 
+    def _evacuation_start(self, group: tuple[str, str]) -> timedelta:
+        """Return the present if upstreams of a service and data centre were in use until now.
+
+        An instance that finds them evacuated as it starts doesn't know since when they are.
+        """
+        service, data_centre = group
+        was_used = self.member.routes is not None and any(
+            upstream.data_centre == data_centre
+            for upstream in self._available_upstreams.get(service, ())
+        )
+        return self.clock.now() if was_used else LONG_AGO
+
     def dispatch_waiting(self) -> None:
         """Send the waiting requests whose keys have an owner now."""
         for exchange in list(self.waiting_for_owner):
@@ -241,6 +263,13 @@
         since = self._draining_since.get(upstream.name)
         return self.clock.now() - since if since is not None else timedelta()
 
+    def evacuation_duration(self, upstream: Upstream) -> timedelta:
+        """Return the time since an upstream was found to be evacuated; zero if it isn't."""
+        if not upstream.is_evacuated:
+            return timedelta()
+        since = self._evacuated_since.get((upstream.service, upstream.data_centre), LONG_AGO)
+        return self.clock.now() - since
+
     def median_service_time_s(self, service: str) -> float:
         """Return the median service time of a service's upstreams, in seconds.
 
--- a/laburnumhatch/gateway/owner_lookup.py
+++ b/laburnumhatch/gateway/owner_lookup.py
@@ -9,10 +9,18 @@
 if TYPE_CHECKING:
     from .gateway import Gateway
 
-__all__ = ["find_owner", "is_awaiting_lease_expiry", "suspend_denied_range"]
+__all__ = [
+    "find_owner",
+    "is_awaiting_lease_expiry",
+    "is_owner_evacuated",
+    "suspend_denied_range",
+]
 
 # Time for which a draining upstream still gets requests for the keys that it holds.
 DRAINING_OWNER_GRACE = milliseconds(700)
+# The same for evacuated ones, counted from when this instance learned it. Many owners hand over at
+# a time. It takes up to about 2 s to learn it, and requests must end 5 s after the order was given.
+EVACUATED_OWNER_GRACE = milliseconds(2200)
 
 
 def find_owner(
@@ -33,9 +41,20 @@
         return key_range.owner
     if gateway.draining_duration(upstream) > DRAINING_OWNER_GRACE:
         return key_range.owner
+    if gateway.evacuation_duration(upstream) > EVACUATED_OWNER_GRACE:
+        return key_range.owner
     return upstream
 
 
+def is_owner_evacuated(gateway: "Gateway", service: str, key: int) -> bool:
+    """Return whether a key is still held by an upstream that should have handed it over."""
+    key_range = _find_range(gateway, service, key)
+    if key_range is None or not key_range.is_held:
+        return False
+    upstream = gateway.member.registry_view.upstreams.get(key_range.owner.name)
+    return upstream is not None and gateway.evacuation_duration(upstream) > EVACUATED_OWNER_GRACE
+
+
 def is_awaiting_lease_expiry(gateway: "Gateway", service: str, key: int) -> bool:
     """Return whether a key without an owner gets one only when a former lease has expired.
 
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -81,6 +81,9 @@
     unknown_count = sum(not route.has_known_type for route in routes)
     lines.append("# TYPE laburnumhatch_routes_of_unknown_type gauge")
     lines.append(f"laburnumhatch_routes_of_unknown_type {unknown_count}")
+    evacuated = {u.data_centre for u in member.registry_view.upstreams.values() if u.is_evacuated}
+    lines.append("# TYPE laburnumhatch_evacuated_data_centres gauge")
+    lines.append(f"laburnumhatch_evacuated_data_centres {len(evacuated)}")
     lines.append("# TYPE laburnumhatch_key_ranges gauge")
     for service, ownership_map in sorted(member.ownership_maps.items()):
         count = len(ownership_map.ranges)
--- a/laburnumhatch/keyspace/leaving_owners.py
+++ b/laburnumhatch/keyspace/leaving_owners.py
@@ -1,4 +1,4 @@
-"""Replacement of owners that are leaving, lost or unresponsive."""
+"""Replacement of owners that are leaving, evacuated, lost or unresponsive."""
 
 import math
 from collections import Counter
@@ -72,7 +72,9 @@
     registered: Mapping[str, UpstreamIncarnation],
     now: timedelta,
 ) -> list[Replacement]:
-    """Move ranges away from owners that are draining, unregistered, restarted or unresponsive.
+    """Move ranges away from owners that are not usable any more.
+
+    They are draining, evacuated, unregistered, restarted or unresponsive.
 
     Parameters
     ----------
--- a/laburnumhatch/platform/sources.py
+++ b/laburnumhatch/platform/sources.py
@@ -1,10 +1,8 @@
-"""Readers of the upstream registrations and of the configuration."""
-
-from typing import Any
+"""Readers of the upstream registrations, of the configuration and of the evacuations."""
 
 import logbook
 
-from ..coordination.reader import Sources
+from ..coordination.reader import ConfigurationRead, Sources
 from ..coordination.shared_configuration import StoredConfiguration
 from ..coordination.store import NotExecuted, RowsRead, Unanswered
 from ..fleet import Upstream
@@ -14,6 +12,7 @@
     DocumentInvalid,
     decode_configuration,
 )
+from .evacuations import decode_evacuations
 from .store import PlatformStore
 from .upstreams import UPSTREAM_TABLE, decode_upstreams
 
@@ -28,9 +27,10 @@
     Notes
     -----
     An invalid registration is logged once, not at every read, and an invalid configuration once for
-    each version of its row.
+    each version of its row. The evacuations are in the same table and read with it.
     """
     known_errors: dict[str, str] = {}
+    known_evacuation_errors: dict[str, str] = {}
 
     async def read_upstreams() -> list[Upstream] | NotExecuted | Unanswered:
         found = await store.read(UPSTREAM_TABLE)
@@ -38,16 +38,17 @@
             return found
         return decode_upstreams(found.rows, known_errors)
 
-    async def read_configuration(known: int) -> Any:
-        found = await store.read_row(CONFIGURATION_TABLE, CONFIGURATION_KEY)
+    async def read_configuration(
+        known: int,
+    ) -> ConfigurationRead | NotExecuted | Unanswered:
+        found = await store.read(CONFIGURATION_TABLE, skips_invalid_rows=True)
         if not isinstance(found, RowsRead):
             return found
-        if not found.rows:
-            return known, None
-        row = found.rows[0]
-        if row.version <= known:
-            return known, None
-        return row.version, decode_logged(row.value)
+        evacuated = decode_evacuations(found.rows, known_evacuation_errors)
+        for row in found.rows:
+            if row.key == CONFIGURATION_KEY and row.version > known:
+                return ConfigurationRead(row.version, decode_logged(row.value), evacuated)
+        return ConfigurationRead(known, None, evacuated)
 
     def decode_logged(content: bytes) -> StoredConfiguration | None:
         try:
--- a/laburnumhatch/platform/store.py
+++ b/laburnumhatch/platform/store.py
@@ -61,6 +61,14 @@
     truncated: bool = False
 
 
+class _UncheckedPage(msgspec.Struct):
+    """A page whose rows are decoded one by one."""
+
+    rows: list[msgspec.Raw]
+    now: str
+    truncated: bool = False
+
+
 class _Condition(msgspec.Struct):
     table: str
     # Partition of the row.
@@ -96,6 +104,8 @@
     rows: list[_Row] = []
 
 
+_row_decoder = msgspec.json.Decoder(_Row)
+_unchecked_page_decoder = msgspec.json.Decoder(_UncheckedPage)
 _page_decoder = msgspec.json.Decoder(_Page)
 _commit_decoder = msgspec.json.Decoder(_CommitAnswer)
 _rejection_decoder = msgspec.json.Decoder(_RejectionAnswer)
@@ -128,6 +138,8 @@
         self._port = port
         self._generation_handlers: list[Callable[[int], None]] = []
         self._has_answered = False
+        # The last error of a row that was left out, by table; each is logged once.
+        self._row_errors: dict[str, str] = {}
         self.call_counts: dict[tuple[str, str], int] = {}
         self.generation = 0
 
@@ -135,9 +147,18 @@
         """Call ``handler(generation)`` when an answer shows that a new generation has begun."""
         self._generation_handlers.append(handler)
 
-    async def read(self, table: str) -> RowsRead | NotExecuted | Unanswered:
+    async def read(
+        self, table: str, *, skips_invalid_rows: bool = False
+    ) -> RowsRead | NotExecuted | Unanswered:
         """Return all rows of a table, ordered by key.
 
+        Parameters
+        ----------
+        table : str
+        skips_invalid_rows : bool, optional
+            Whether a row without a valid key and version is left out, and not the whole answer
+            invalid.
+
         Notes
         -----
         A table of more than one page is read page by page, so its rows are not a consistent
@@ -147,7 +168,8 @@
         start = ""
         while True:
             generation = self.generation
-            page = await self._read_page({"table": table, "part": "", "from": start})
+            query = {"table": table, "part": "", "from": start}
+            page = await self._read_page(query, skips_invalid_rows=skips_invalid_rows)
             if not isinstance(page, _Page):
                 return page
             if rows and generation != self.generation:
@@ -198,7 +220,9 @@
             return Unanswered(f"the answer is invalid: {e}")
         return self._classify_error(response)
 
-    async def _read_page(self, query: dict[str, str]) -> _Page | NotExecuted | Unanswered:
+    async def _read_page(
+        self, query: dict[str, str], *, skips_invalid_rows: bool = False
+    ) -> _Page | NotExecuted | Unanswered:
         parameters = {name: value for name, value in query.items() if value or name == "part"}
         response = await self._call(
             b"GET", f"/rows-get?{urlencode(parameters)}&limit={PAGE_ROWS}", b""
@@ -208,12 +232,29 @@
         if response.status != OK:
             return self._classify_error(response)
         try:
-            page = decode_document(_page_decoder.decode, response.body)
+            try:
+                page = decode_document(_page_decoder.decode, response.body)
+            except ValueError:
+                if not skips_invalid_rows:
+                    raise
+                page = self._decode_valid_rows(query["table"], response.body)
             parse_duration(page.now)
             return page
         except ValueError as e:
             return Unanswered(f"the answer is invalid: {e}")
 
+    def _decode_valid_rows(self, table: str, body: bytes) -> _Page:
+        unchecked = decode_document(_unchecked_page_decoder.decode, body)
+        rows = []
+        for raw in unchecked.rows:
+            try:
+                rows.append(decode_document(_row_decoder.decode, bytes(raw)))
+            except ValueError as e:
+                if self._row_errors.get(table) != str(e):
+                    self._row_errors[table] = str(e)
+                    _log.warning("ignoring an invalid row of the table {}: {}", table, e)
+        return _Page(rows, unchecked.now, unchecked.truncated)
+
     async def _call(
         self, method: bytes, path: str, body: bytes
     ) -> Response | NotExecuted | Unanswered:
