Tell the followers of a former leader who leads now

Cause: a member that the store refuses learns who leads only from the store. When the leader was refused as well and replaced, the others that were refused heard no leader for as long as that lasted.

Change: a member that hears an update of a new term passes it on once, without state, to the members on its open streams, which then dial that leader. A passed-on update is applied by nobody, since its sender isn't the leader.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -1,6 +1,7 @@
 """Membership of this instance: its state, its messages to other members and its leadership."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 
 import logbook
@@ -182,6 +183,7 @@
         self._received_state = ReceivedState()
         self._is_stopping = self._is_yielding = False
         self._abstains_until = LONG_AGO
+        self._passed_on_term = 0
         self._announced_instance_count: int | None = None
         self._leadership_handlers: list[Callable[[], None]] = []
         self.reaches_service: Callable[[str], bool] = lambda service: True
@@ -678,10 +680,11 @@
             self._observe_leader_row(
                 StoredRow(LEADER_KEY, encode_leader(announced), update.row_version)
             )
+        self._pass_on(update)
         if self._leader is not None and not self._leadership.is_leader:
             # The first update of a stream holds the full state, so it must not be missed.
             self._step_down()
-        if self._leader is not None or peer != self.leader_name:
+        if self._leader is not None or not peer == update.leader == self.leader_name:
             return
         now = self._clock.now()
         self._leader_heard_at = now
@@ -707,6 +710,20 @@
             )
         self._apply_update(update, now, is_registry_newer)
 
+    def _pass_on(self, update: LeaderUpdate) -> None:
+        """Tell the other members on open streams who leads now, once for each term.
+
+        They are mostly those of which this member was the leader. Some may not reach the store,
+        from which they would learn it.
+        """
+        if update.term <= self._passed_on_term:
+            return
+        self._passed_on_term = update.term
+        announcement = replace(update, registry_changes=None, map_changes=(), totals=None)
+        for peer in self._links.connected_peers():
+            if peer != update.leader:
+                self._links.send(peer, announcement)
+
     def _apply_update(self, update: LeaderUpdate, now: timedelta, is_registry_newer: bool) -> None:
         """Apply an update from the leader and use the resulting state.
 
--- a/laburnumhatch/coordination/tests/test_evacuations.py
+++ b/laburnumhatch/coordination/tests/test_evacuations.py
@@ -136,10 +136,12 @@
     assert holders(cluster).isdisjoint({*EVACUATED, None})
 
 
-def test_row_written_while_the_store_refuses_the_leader(cluster):
-    cluster.store.unreachable_members = set(cluster.leaders())
+@pytest.mark.parametrize("refused_followers", [0, 1])
+def test_row_written_while_the_store_refuses_the_leader(cluster, refused_followers):
+    others = followers(cluster)[refused_followers:]
+    reached = [name for name, member in cluster.members.items() if member in others]
+    cluster.store.unreachable_members = set(cluster.members) - set(reached)
     evacuate(cluster, "d1")
-    others = followers(cluster)
     cluster.run(2)
     for member in others:
         assert evacuated_at(member) == EVACUATED
