--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -1,6 +1,7 @@
 """Membership of this instance: its state, its messages to other members and its leadership."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 
 import logbook
@@ -14,6 +15,7 @@
 from .announcements import Announcements
 from .broadcast import Broadcaster
 from .candidacy import Candidacy
+from .evacuations import Evacuations
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
 from .load_summary import LoadSummary
@@ -102,6 +104,8 @@
         Limits on requests for busy keys, by service.
     announcements : Announcements
         What upstreams announced in their answers.
+    evacuations : Evacuations
+        The evacuated data centres.
     """
 
     def __init__(
@@ -145,6 +149,7 @@
                 self._handle_configuration,
                 self._handle_leader_row,
                 self._handle_owner_rows,
+                lambda data_centres, as_of: self.evacuations.handle_read(data_centres, as_of),
             ),
             lambda: self.likely_instance_count,
         )
@@ -178,6 +183,7 @@
         self._received_state = ReceivedState()
         self._is_stopping = self._is_yielding = False
         self._abstains_until = LONG_AGO
+        self._passed_on_term = 0
         self._announced_instance_count: int | None = None
         self._leadership_handlers: list[Callable[[], None]] = []
         self.reaches_service: Callable[[str], bool] = lambda service: True
@@ -198,6 +204,16 @@
             has_authority=lambda: self._leadership.has_authority(clock.now()),
             on_upstreams_changed=self._on_upstreams_changed,
         )
+        self.registry_view.on_taken_back = self.announcements.assume_warming_up
+        self.evacuations = Evacuations(
+            clock=clock,
+            links=links,
+            registry_view=self.registry_view,
+            leader_name=lambda: self.leader_name,
+            is_leader=lambda: self.is_leader,
+            on_upstreams_changed=self._on_upstreams_changed,
+            on_news=self._schedule_update,
+        )
         self._registry_reports = RegistryReports(
             clock=clock,
             links=links,
@@ -344,6 +360,7 @@
             leader_heard_at=self._leader_heard_at,
             leader_may_act=not leadership.may_take_over(now),
             has_leader_row=(leadership.row is not None) if leadership.is_row_known else None,
+            evacuations_as_of=self.evacuations.as_of,
         )
 
     async def _sleep(self, delay: timedelta) -> None:
@@ -422,6 +439,7 @@
             self._load_tracker.warmups.configure(self.routes.services.values())
         self._registry_version += 1
         self._upstream_names = sorted(upstreams)
+        self.evacuations.log_effects()
         if self._leader is not None:
             self._leader.update_fleet(self._keyed_services(), upstreams)
             self._schedule_update()
@@ -483,6 +501,7 @@
         for handler in self._leadership_handlers:
             handler()
         self._broadcaster.forget_all()
+        self.evacuations.forget_peers()
         self._summary = LoadSummary(self._load_tracker, self.reserved_slots)
         starting = Deferred.fromCoroutine(self._start_leading(leader))
         starting.addErrback(
@@ -514,6 +533,7 @@
         self._reader.forget_ages()
         self.registry_view.begin_grace(now)
         self._load_tracker.warmups.distrust_registry(now)
+        self.evacuations.begin_grace()
         leader = self._leader
         if leader is not None and self._leadership.awaits_witnesses:
             _log.info(
@@ -568,6 +588,7 @@
 
     def _on_connected(self, peer: str) -> None:
         self._broadcaster.forget(peer)
+        self.evacuations.forget_peer(peer)
         self._schedule_update()
 
     def _schedule_update(self) -> None:
@@ -611,6 +632,8 @@
         self._broadcaster.send(
             update, self._registry_version, self.registry_view.upstreams, self.ownership_maps
         )
+        # After the update, from which a receiver learns who leads.
+        self.evacuations.update_followers()
 
     def _totals(self, now: timedelta) -> Totals:
         """Count this instance's own report and return the loads over all instances."""
@@ -670,10 +693,11 @@
             self._observe_leader_row(
                 StoredRow(LEADER_KEY, encode_leader(announced), update.row_version)
             )
+        self._pass_on(update)
         if self._leader is not None and not self._leadership.is_leader:
             # The first update of a stream holds the full state, so it must not be missed.
             self._step_down()
-        if self._leader is not None or peer != self.leader_name:
+        if self._leader is not None or not peer == update.leader == self.leader_name:
             return
         now = self._clock.now()
         self._leader_heard_at = now
@@ -699,6 +723,20 @@
             )
         self._apply_update(update, now, is_registry_newer)
 
+    def _pass_on(self, update: LeaderUpdate) -> None:
+        """Tell the other members on open streams who leads now, once for each term.
+
+        They are mostly those of which this member was the leader. Some may not reach the store,
+        from which they would learn it.
+        """
+        if update.term <= self._passed_on_term:
+            return
+        self._passed_on_term = update.term
+        announcement = replace(update, registry_changes=None, map_changes=(), totals=None)
+        for peer in self._links.connected_peers():
+            if peer != update.leader:
+                self._links.send(peer, announcement)
+
     def _apply_update(self, update: LeaderUpdate, now: timedelta, is_registry_newer: bool) -> None:
         """Apply an update from the leader and use the resulting state.
 
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -12,6 +12,7 @@
     "ConfigurationContent",
     "ConfigurationRequest",
     "CrashReport",
+    "EvacuationUpdate",
     "KeyCount",
     "KeyLimit",
     "LeaderUpdate",
@@ -497,6 +498,25 @@
     upstreams: tuple[WarmingUpstream, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationUpdate:
+    """All data centres that the operator has evacuated, as the leader knows them.
+
+    Attributes
+    ----------
+    data_centres : tuple of str
+    age : timedelta
+        Time since the read that found them was sent; not negative.
+    """
+
+    data_centres: tuple[str, ...]
+    age: timedelta
+
+    def __post_init__(self) -> None:
+        if self.age < timedelta():
+            raise ValueError("the age of a read is negative")
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -519,5 +539,6 @@
         RegistryReadReport,
         WarmupReport,
         WarmupUpdate,
+        EvacuationUpdate,
     ),
 )
--- a/laburnumhatch/coordination/reader.py
+++ b/laburnumhatch/coordination/reader.py
@@ -13,16 +13,20 @@
 from twisted.internet.defer import Deferred
 
 from ..clocks import Clock, milliseconds
+from .probe_schedule import MIN_PROBE_INTERVAL, ProbeSchedule
 from .shared_configuration import StoredConfiguration
 from .store import NotExecuted, RowsRead, RowStore, Unanswered
 
-__all__ = ["Sources", "StoreReader", "ReadHandlers"]
+__all__ = ["ConfigurationRead", "Sources", "StoreReader", "ReadHandlers"]
 
 # Time between two reads of the registry and of the configuration by the leader. It is a quarter of
 # the shortest time limit for an upstream's departure in the users' settings.
 LEADER_READ_INTERVAL = milliseconds(500)
 # Age of a member's state above which it reads the store itself.
 MAX_STATE_AGE = milliseconds(1100)
+# Age of what a member knows of evacuations above which it reads them itself, although it hears a
+# leader: one of a former build doesn't send them. Requests must end 5 s after the row was written.
+MAX_EVACUATIONS_AGE = milliseconds(2000)
 # Minimum time between two reads of the same data by any member.
 MIN_READ_INTERVAL = milliseconds(500)
 # Time between two reads of the leader's row while no updates arrive from the leader. It is longer
@@ -35,13 +39,6 @@
 # Time after the start of the process within which the present leader sends its state, unless it is
 # lost or unreachable.
 FIRST_UPDATE_TIMEOUT = milliseconds(400)
-# Time between two probes of an unavailable store by a member other than the leader: a minimum, a
-# time for each instance, and a maximum, since the store may be unavailable to this member alone.
-# All instances together must not add to the load of a store in trouble; whichever of them finds it
-# available leads and tells the others.
-STORE_PROBE_INTERVAL = milliseconds(600)
-PROBE_INTERVAL_PER_INSTANCE = milliseconds(15)
-MAX_STORE_PROBE_INTERVAL = milliseconds(3000)
 # Time without updates from a leader after which a member reads the owners of keys. Only a leader
 # changes them, and the next one sends them.
 OWNERS_READ_DELAY = milliseconds(2200)
@@ -56,6 +53,24 @@
 _log = logbook.Logger("laburnumhatch.member")
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """Result of a read of the configuration.
+
+    Attributes
+    ----------
+    row_version : int
+    configuration : StoredConfiguration or None
+        None if there is no newer valid version than the known one.
+    evacuated : frozenset of str
+        Data centres that the operator has evacuated.
+    """
+
+    row_version: int
+    configuration: StoredConfiguration | None
+    evacuated: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Sources:
     """Functions that read the registry and the configuration.
@@ -65,9 +80,8 @@
     read_upstreams : callable
         Returns a coroutine of the upstreams, or of `NotExecuted` or `Unanswered` on failure.
     read_configuration : callable
-        Takes the known version of the row. Returns a coroutine of the row's version and the
-        `StoredConfiguration`, which is None if there is no newer valid version, or of `NotExecuted`
-        or `Unanswered` on failure.
+        Takes the known version of the row. Returns a coroutine of `ConfigurationRead`, or of
+        `NotExecuted` or `Unanswered` on failure.
     decode_configuration : callable
         Takes a document and returns the `StoredConfiguration`, or None if it is invalid.
     """
@@ -92,12 +106,16 @@
         was sent.
     on_owner_rows : callable
         Called with the rows that record the owners of the keys.
+    on_evacuated : callable
+        Called with the evacuated data centres and the instant at which the read was sent, before
+        `on_configuration`.
     """
 
     on_upstreams: Callable[[Any], None]
     on_configuration: Callable[[StoredConfiguration], None]
     on_leader_row: Callable[[Any, timedelta | None, timedelta], None]
     on_owner_rows: Callable[[Any], None]
+    on_evacuated: Callable[[frozenset[str], timedelta], None]
 
 
 class StoreReader:
@@ -136,10 +154,10 @@
         self._store = store
         self._sources = sources
         self._handlers = handlers
-        self._instance_count = instance_count
         self._active_reads: set[str] = set()
         self._last_sent_at: dict[str, timedelta] = {}
         self._random = random.Random()
+        self._probes = ProbeSchedule(instance_count, lambda: self._random.random())
         self._started_at = clock.now()
         self.registry_as_of = LONG_AGO
         self.configuration_as_of = LONG_AGO
@@ -156,6 +174,7 @@
         leader_heard_at: timedelta,
         leader_may_act: bool,
         has_leader_row: bool | None,
+        evacuations_as_of: timedelta,
     ) -> None:
         """Start the reads that are due.
 
@@ -169,14 +188,17 @@
             Whether the leader may still have authority.
         has_leader_row : bool or None
             Whether the store holds a leader's row; None if that is not known yet.
+        evacuations_as_of : timedelta
+            Instant as of which the evacuated data centres are known.
         """
+        now = self._clock.now()
         if not is_leader and not self.is_store_available:
-            interval = PROBE_INTERVAL_PER_INSTANCE * self._instance_count()
-            interval = min(max(STORE_PROBE_INTERVAL, interval), MAX_STORE_PROBE_INTERVAL)
-            min_interval = interval * (0.8 + 0.4 * self._random.random())
-            self._read("leader", self._read_leader_row, min_interval)
+            oldest = min(leader_heard_at, self.registry_as_of, self.configuration_as_of)
+            is_supplied = now - oldest < MAX_STATE_AGE
+            sent_at = self._last_sent_at.get("leader", LONG_AGO)
+            if self._probes.is_due(sent_at, now, is_supplied=is_supplied):
+                self._read("leader", self._read_leader_row, timedelta())
             return
-        now = self._clock.now()
         max_age = LEADER_READ_INTERVAL if is_leader else MAX_STATE_AGE
         age = now - self._started_at
         is_founding = not has_leader_row and age < FOUNDING_PERIOD
@@ -185,7 +207,9 @@
             self._read("registry", self._read_registry, MIN_READ_INTERVAL)
         # Members other than the leader find out by one read that the store is unavailable.
         may_read_both = is_leader or "registry" not in self._active_reads
-        if now - self.configuration_as_of >= max_age and may_read_both:
+        is_evacuations_read_due = now - evacuations_as_of >= MAX_EVACUATIONS_AGE
+        is_read_due = now - self.configuration_as_of >= max_age or is_evacuations_read_due
+        if is_read_due and may_read_both:
             self.read_configuration()
         if is_leader or now - leader_heard_at < MAX_STATE_AGE:
             return
@@ -211,7 +235,7 @@
     def read_announced_configuration(self) -> None:
         """Read the configuration soon, because the leader has announced a newer one."""
         self.read_configuration(
-            ANNOUNCED_READ_INTERVAL if self.is_store_available else STORE_PROBE_INTERVAL
+            ANNOUNCED_READ_INTERVAL if self.is_store_available else MIN_PROBE_INTERVAL
         )
 
     def forget_ages(self) -> None:
@@ -224,6 +248,7 @@
         """Record whether a call of the store succeeded, and log a change."""
         if is_store_available != self.is_store_available:
             self.is_store_available = is_store_available
+            self._probes.reset()
             if is_store_available:
                 self.available_since = self._clock.now()
                 # What could not be read is due now.
@@ -267,11 +292,11 @@
         result = await self._sources.read_configuration(self.configuration_row_version)
         if not self._check_result(result):
             return
-        version, configuration = result
         self.configuration_as_of = sent_at
-        self.configuration_row_version = max(self.configuration_row_version, version)
-        if configuration is not None:
-            self._handlers.on_configuration(configuration)
+        self.configuration_row_version = max(self.configuration_row_version, result.row_version)
+        self._handlers.on_evacuated(result.evacuated, sent_at)
+        if result.configuration is not None:
+            self._handlers.on_configuration(result.configuration)
 
     async def _read_leader_row(self) -> None:
         sent_at = self._clock.now()
