Let requests wait at their instance for room, in the order of their ranks

Cause: a request whose predicted time exceeds its objective is refused at once and comes back on another instance, where it is judged by its full objective again. Requests of different ranks aren't ordered at keyed services.

Change: the time that a caller has spent is inferred from its deadline; a request that can be in time waits in a bounded queue for its upstream or service. Less urgent ranks are sent with a lower predicted time the more of the urgent ones aren't served in time. Choice of the upstream and admission move from the exchange into gateway/admission.py. The settings field waiting_room turns it on or off; auto, the default, means on while a route has large bodies.

--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -132,6 +132,7 @@
             relays=self._relays,
             shared_key=lambda: self._stream_key,
             memory=MemoryBudget(held_bytes_limit(_memory_bytes(settings))),
+            waiting_room=settings.waiting_room,
         )
         self._pool = pool
         self._callers = self._caller_factory(self._gateway.handle, self._gateway.limits)
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -7,17 +7,7 @@
 
 from ..clocks import Cancellable, Timeout, milliseconds
 from ..fleet import Route, Upstream, UpstreamIncarnation, find_route
-from ..placement import (
-    Declined,
-    Demand,
-    FailedRequest,
-    can_finish_before_stop,
-    choose_upstream,
-    decide_admission,
-    may_retry,
-    predict_answer_time,
-)
-from ..placement.choice import usual_service_time
+from ..placement import Demand, FailedRequest, WaitingRequest, may_retry
 from ..platform.headers import (
     KEY,
     SEAL,
@@ -29,6 +19,7 @@
 from ..transport import CallerRequest, CallFailure, OutboundRequest, PooledCall
 from ..transport.fields import HeaderFields, parse_keep_alive_timeout
 from ..transport.outbound import OutboundConnection
+from .admission import AdmissionActions, PlacedRequest
 from .announced import apply_announcements
 from .answers import (
     NOT_RUN_STATUSES,
@@ -48,7 +39,6 @@
 from .retry_after import (
     DECLINED_RETRY_AFTER,
     HOT_KEY_RETRY_AFTER,
-    LIMITED_RETRY_AFTER,
     NO_CONFIGURATION_RETRY_AFTER,
     NO_OWNER_RETRY_AFTER,
     OWNER_LOST_RETRY_AFTER,
@@ -77,6 +67,7 @@
 class _State(Enum):
     PLACING = "placing"
     WAITING_FOR_OWNER = "waiting for an owner"
+    WAITING_FOR_ROOM = "waiting for room"
     WAITING_FOR_PERMIT = "waiting for a permit"
     SENT = "sent"
     FINISHED = "finished"
@@ -112,6 +103,9 @@
         self._call: PooledCall | None = None
         self._upstream: Upstream | None = None
         self._sent_at: timedelta | None = None
+        self._started_at = request.received_at
+        self._waiting: WaitingRequest | None = None
+        self._waited = timedelta()
         self._demand = Demand()
         self._relative_time = 1.0
         self._sends_by_upstream: dict[str, int] = {}
@@ -145,6 +139,7 @@
                 self._refuse(ResultCode.KEY_MISSING, None)
                 return
         self._demand = gateway.demand(self._service, route)
+        self._started_at = gateway.admission.started_at(request, route)
         self._deadline = deadline_of(request, route, gateway.requests_end_at)
         self._deadline_timer = Timeout(
             gateway.clock,
@@ -202,32 +197,53 @@
         return (self._deadline - self._gateway.clock.now()).total_seconds()
 
     def _dispatch(self) -> None:
+        self._end_wait()
         self._state = _State.PLACING
         if self._gateway.crash_guard.is_banned(self._request):
             self._refuse(ResultCode.CRASHES_UPSTREAMS, None)
         elif self._may_relay() and self._send_to_peer():
             return
-        elif self._key is not None:
-            self._dispatch_to_owner()
         else:
-            self._dispatch_by_load()
+            self._admit()
 
-    def _dispatch_to_owner(self) -> None:
-        owner = self._find_owner()
-        if not isinstance(owner, Upstream):
-            self._wait_for_owner()
-            return
-        gateway = self._gateway
-        if not gateway.member.announcements.may_send_to(owner):
-            self._refuse_beyond_limit([owner])
-            return
-        load = gateway.load_tracker.load_of(owner.name)
-        median_s = gateway.median_service_time_s(self._service)
-        predicted_s = predict_answer_time(owner, load, median_s, self._demand)
-        service_time_s = load.service_time_s or median_s
-        if owner.warmup_remaining:
-            service_time_s = max(service_time_s, usual_service_time(owner, median_s))
-        self._admit(owner, predicted_s, service_time_s * self._demand.work_ratio)
+    def _admit(self) -> None:
+        assert self._route is not None
+        placed = PlacedRequest(
+            service=self._service,
+            route=self._route,
+            demand=self._demand,
+            started_at=self._started_at,
+            deadline=self._deadline,
+            tried_names=self._sends_by_upstream,
+            find_owner=self._find_owner if self._key is not None else None,
+        )
+        actions = AdmissionActions(
+            self._on_admitted, self._on_refused, self._wait_for_owner, self._dispatch
+        )
+        waiting = self._gateway.admission.admit(placed, actions)
+        if self._state is _State.PLACING:
+            self._state = _State.WAITING_FOR_ROOM
+            self._waiting = waiting
+
+    def _on_admitted(self, upstream: Upstream) -> None:
+        self._end_wait()
+        announcements = self._gateway.member.announcements
+        if announcements.needs_permit(upstream):
+            self._state = _State.WAITING_FOR_PERMIT
+            announcements.request_permit(upstream, partial(self._on_permit, upstream))
+        else:
+            self._send(upstream)
+
+    def _on_refused(self, refusal: Refusal) -> None:
+        self._refuse(refusal.code, refusal.retry_after, refusal.detail)
+
+    def _end_wait(self) -> None:
+        """Note the end of a wait for room at an upstream."""
+        if self._waiting is not None:
+            waiting, self._waiting = self._waiting, None
+            self._gateway.admission.withdraw(waiting)
+            if waiting.entered_at is not None:
+                self._waited += self._gateway.clock.now() - waiting.entered_at
 
     def _find_owner(self) -> Upstream | UpstreamIncarnation | None:
         assert self._key is not None
@@ -263,64 +279,6 @@
     def _on_owner_wait_timeout(self) -> None:
         self._refuse(ResultCode.NO_OWNER, NO_OWNER_RETRY_AFTER)
 
-    def _dispatch_by_load(self) -> None:
-        gateway = self._gateway
-        known = gateway.available_upstreams(self._service)
-        available = [u for u in known if gateway.member.announcements.may_send_to(u)]
-        if known and not available:
-            self._refuse_beyond_limit(known)
-            return
-        candidates = [u for u in available if u.name not in self._sends_by_upstream] or available
-        assert self._route is not None
-        choice = choose_upstream(
-            candidates,
-            gateway.load_tracker.load_of,
-            gateway.data_centre,
-            self._demand,
-            gateway.member.likely_instance_count,
-            gateway.clock.now(),
-            gateway.random,
-            gateway.median_service_time_s(self._service),
-        )
-        if choice is None:
-            self._refuse(ResultCode.NO_TARGET, NO_OWNER_RETRY_AFTER)
-            return
-        median_s = gateway.median_service_time_s(self._service)
-        service_time_s = usual_service_time(choice.upstream, median_s) * self._demand.work_ratio
-        self._admit(choice.upstream, choice.predicted_s, service_time_s)
-
-    def _refuse_beyond_limit(self, upstreams: list[Upstream]) -> None:
-        """Refuse a request that none of the upstreams that could serve it takes now."""
-        gateway = self._gateway
-        now, limits = gateway.clock.now(), gateway.load_tracker.limits
-        pause = min(limits.remaining_pause(upstream.name, now) for upstream in upstreams)
-        detail = f"{upstreams[0].name} takes no more requests at the moment"
-        if len(upstreams) > 1:
-            detail = f"{len(upstreams)} upstreams take no more requests at the moment"
-        self._refuse(ResultCode.QUEUE_FULL, max(pause, LIMITED_RETRY_AFTER), detail)
-
-    def _admit(self, upstream: Upstream, predicted_s: float, service_time_s: float) -> None:
-        assert self._route is not None
-        stop_in_s = self._gateway.stop_in_s()
-        if stop_in_s is not None and not can_finish_before_stop(predicted_s, stop_in_s):
-            detail = f"{predicted_s:.3f} s predicted, {max(stop_in_s, 0.0):.3f} s left"
-            self._refuse(ResultCode.STOPPING, DECLINED_RETRY_AFTER, detail)
-            return
-        latency_objective_s = self._route.latency_objective.total_seconds()
-        decision = decide_admission(
-            predicted_s, service_time_s, latency_objective_s, self._remaining_s()
-        )
-        if isinstance(decision, Declined):
-            retry_after = milliseconds(decision.retry_after_s * 1000)
-            self._refuse(ResultCode.QUEUE_FULL, retry_after, f"{upstream.name}: {decision.reason}")
-            return
-        announcements = self._gateway.member.announcements
-        if announcements.needs_permit(upstream):
-            self._state = _State.WAITING_FOR_PERMIT
-            announcements.request_permit(upstream, partial(self._on_permit, upstream))
-        else:
-            self._send(upstream)
-
     def _on_permit(self, upstream: Upstream, is_granted: bool) -> None:
         if self._state is not _State.WAITING_FOR_PERMIT:
             return
@@ -452,7 +410,9 @@
         if outcome.kind is OutcomeKind.SUCCESS or self._relay.is_streaming:
             self._relay.deliver()
             gateway = self._gateway
-            gateway.request_log.log_answer(self._request, self._logged_target(), self._send_count)
+            gateway.request_log.log_answer(
+                self._request, self._logged_target(), self._send_count, self._waited
+            )
             self._finish("answered")
         else:
             self._handle_failed_attempt(outcome)
@@ -493,6 +453,7 @@
             is_new_connection=call is not None and call.is_new_connection,
         )
         record_attempt(self._gateway, attempt, outcome)
+        self._gateway.admission.on_room(self._service, upstream)
 
     def _handle_failed_attempt(self, outcome: AttemptOutcome) -> None:
         """Retry the request or answer the caller."""
@@ -666,6 +627,7 @@
         self._deadline_timer = None
         self._relay.release()
         self._stop_waiting()
+        self._end_wait()
         gateway = self._gateway
         seconds = (gateway.clock.now() - self._request.received_at).total_seconds()
         gateway.metrics.record_request(self._service, result, seconds)
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -19,6 +19,7 @@
 from ..transport import CallerRequest, ConnectionPool, MemoryBudget
 from ..transport.memory_budget import SMALL_BODY_BYTES
 from ..transport.pool import MAX_IDLE_TIME
+from .admission import Admission, AdmissionSources
 from .crash_guard import CrashGuard
 from .exchange import Exchange
 from .link_monitor import LinkMonitor
@@ -67,6 +68,8 @@
         Returns the secret that all instances share.
     memory : MemoryBudget, optional
         Bounds the bytes that are held for others.
+    waiting_room : str, optional
+        Whether requests wait for room at an upstream; see `Admission`.
 
     Attributes
     ----------
@@ -87,6 +90,7 @@
         relays: RelayDirectory,
         shared_key: Callable[[], str],
         memory: MemoryBudget | None = None,
+        waiting_room: str = "auto",
     ) -> None:
         self._started_at = clock.now()
         self._retry_policy = retry_policy
@@ -126,6 +130,21 @@
             self.random,
             self._on_links_changed,
         )
+        self.admission = Admission(
+            clock,
+            data_centre,
+            load_tracker,
+            self.metrics,
+            AdmissionSources(
+                available_upstreams=self.available_upstreams,
+                may_send_to=lambda upstream: member.announcements.may_send_to(upstream),
+                median_service_time_s=self.median_service_time_s,
+                likely_instance_count=lambda: member.likely_instance_count,
+                stop_in_s=self.stop_in_s,
+                rng=lambda: self.random,
+            ),
+            waiting_room,
+        )
         member.reaches_service = self._reaches_service
 
     def _reaches_service(self, service: str) -> bool:
@@ -205,6 +224,7 @@
             route_names = {route.name for route in routes.routes}
             self.service_splitter.retain_routes(route_names)
             self.work_times.retain(route_names)
+            self.admission.configure(routes)
         self.dispatch_waiting()
 
     def dispatch_waiting(self) -> None:
--- a/laburnumhatch/gateway/metrics.py
+++ b/laburnumhatch/gateway/metrics.py
@@ -51,6 +51,10 @@
         Time from the header of a request to its final answer, by service.
     owner_waits : dict of str to Histogram
         Time for which requests waited for an owner of their key, by service.
+    waits : Counter of (str, str)
+        Number of requests that waited for room at an upstream, by service and outcome.
+    wait_times : dict of str to Histogram
+        Time for which requests waited for room at an upstream, by service.
     """
 
     requests: Counter[tuple[str, str]] = field(default_factory=Counter)
@@ -59,6 +63,8 @@
     memory_refusals: Counter[str] = field(default_factory=Counter)
     latencies: dict[str, Histogram] = field(default_factory=dict)
     owner_waits: dict[str, Histogram] = field(default_factory=dict)
+    waits: Counter[tuple[str, str]] = field(default_factory=Counter)
+    wait_times: dict[str, Histogram] = field(default_factory=dict)
 
     def record_request(self, service: str, result: str, seconds: float) -> None:
         """Count a finished request and record its latency."""
@@ -68,3 +74,8 @@
     def record_owner_wait(self, service: str, seconds: float) -> None:
         """Record a wait for the owner of a key."""
         self.owner_waits.setdefault(service, Histogram()).observe(seconds)
+
+    def record_wait(self, service: str, outcome: str, seconds: float) -> None:
+        """Record a wait for room at an upstream."""
+        self.waits[service, outcome] += 1
+        self.wait_times.setdefault(service, Histogram()).observe(seconds)
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -64,6 +64,11 @@
         lines.append(f'laburnumhatch_memory_refusals_total{{body="{size}"}} {count}')
     lines += _histogram_lines("laburnumhatch_request_seconds", metrics.latencies)
     lines += _histogram_lines("laburnumhatch_owner_wait_seconds", metrics.owner_waits)
+    lines.append("# TYPE laburnumhatch_waits_total counter")
+    for (service, outcome), count in sorted(metrics.waits.items()):
+        labels = f'service="{service}",outcome="{outcome}"'
+        lines.append(f"laburnumhatch_waits_total{{{labels}}} {count}")
+    lines += _histogram_lines("laburnumhatch_wait_seconds", metrics.wait_times)
     lines.append("# TYPE laburnumhatch_retry_budget_left gauge")
     for service in sorted(metrics.latencies):
         left = gateway.retry_budget_left(service)
@@ -94,6 +99,7 @@
         f"laburnumhatch_instances {member.instance_count or 0}",
         f"laburnumhatch_is_leader {int(member.is_leader)}",
         f"laburnumhatch_requests_in_flight {gateway.in_flight}",
+        f"laburnumhatch_requests_waiting {gateway.admission.waiting_count}",
         f"laburnumhatch_upstream_connections_opened_total {gateway.pool.opened_count}",
         f"laburnumhatch_loop_lag_seconds_total {gateway.loop_lag.total.total_seconds():.3f}",
         f"laburnumhatch_loop_lag_seconds_max {gateway.loop_lag.longest.total_seconds():.3f}",
--- a/laburnumhatch/gateway/request_log.py
+++ b/laburnumhatch/gateway/request_log.py
@@ -82,10 +82,15 @@
         self.dropped_count = 0
         self.dropped_answered_count = 0
 
-    def log_answer(self, request: CallerRequest, target: LoggedTarget, send_count: int) -> None:
-        """Log that a request was answered after `send_count` attempts."""
+    def log_answer(
+        self, request: CallerRequest, target: LoggedTarget, send_count: int, waited: timedelta
+    ) -> None:
+        """Log that a request was answered after `send_count` attempts and a wait for room."""
         if self._answered_bucket.take(self._clock.now()):
-            self._write(request, target, "answered", sends=send_count)
+            fields: dict[str, object] = {"sends": send_count}
+            if waited:
+                fields["waited_ms"] = round(waited.total_seconds() * 1000, 1)
+            self._write(request, target, "answered", **fields)
         else:
             self.dropped_answered_count += 1
 
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -30,8 +30,9 @@
     "stop_within": "6s",
     "first_start": False,
     "memory_mb": 300,
+    "waiting_room": "auto",
 }
-OPTIONAL = ["memory_mb"]
+OPTIONAL = ["memory_mb", "waiting_room"]
 
 
 @pytest.fixture
@@ -61,6 +62,7 @@
         ("memory_mb", 0),
         ("memory_mb", -1),
         ("memory_mb", "much"),
+        ("waiting_room", "sometimes"),
     ],
 )
 def test_error_names_the_invalid_field(write, field, value):
--- a/laburnumhatch/placement/__init__.py
+++ b/laburnumhatch/placement/__init__.py
@@ -5,10 +5,13 @@
 from .crash_record import CrashRecord, LostCopies
 from .key_limiter import KeyLimiter
 from .loads import LoadTracker, UpstreamLoad
+from .longest_deadlines import LongestDeadlines
+from .rank_limits import RankLimits
 from .request_limits import RequestLimits
 from .reservation import Reservation, plan_reservation, reserved_upstreams
 from .retries import FailedRequest, RetryBudget, may_retry
 from .service_links import LinkState, ServiceLinks
+from .waiting_room import Prospect, WaitingRequest, WaitingRoom, queue_limit
 from .work_times import WorkTimes
 
 __all__ = [
@@ -21,12 +24,17 @@
     "KeyLimiter",
     "LinkState",
     "LoadTracker",
+    "LongestDeadlines",
     "LostCopies",
+    "Prospect",
+    "RankLimits",
     "RequestLimits",
     "Reservation",
     "RetryBudget",
     "ServiceLinks",
     "UpstreamLoad",
+    "WaitingRequest",
+    "WaitingRoom",
     "WorkTimes",
     "can_finish_before_stop",
     "choose_upstream",
@@ -34,5 +42,6 @@
     "may_retry",
     "plan_reservation",
     "predict_answer_time",
+    "queue_limit",
     "reserved_upstreams",
 ]
