--- a/laburnumhatch/placement/rank_limits.py
+++ b/laburnumhatch/placement/rank_limits.py
@@ -24,7 +24,9 @@
 HALF_LIFE = milliseconds(2000)
 # Share of requests that can't be in time even if there is enough room overall, since some upstreams
 # are slow for a moment.
-USUAL_UNMET_SHARE = 0.2
+USUAL_UNMET_SHARE = 0.35
+# Number of requests in time that are added to the counts, so that few requests decide little.
+PRIOR_COUNT = 1.0
 # Decayed number of requests from which a rank counts as arriving.
 MIN_COUNT = 0.5
 
@@ -45,10 +47,9 @@
         self.unmet *= factor
         self.counted_at = now
 
-
     def met_share(self) -> float:
         """Return the share of requests that can be in time, relative to the usual share."""
-        excess = min(1.0, self.unmet / self.asked) - USUAL_UNMET_SHARE
+        excess = min(1.0, self.unmet / (self.asked + PRIOR_COUNT)) - USUAL_UNMET_SHARE
         return 1.0 - max(0.0, excess) / (1.0 - USUAL_UNMET_SHARE)
 
 
--- a/laburnumhatch/placement/tests/waiting_model.py
+++ b/laburnumhatch/placement/tests/waiting_model.py
@@ -29,6 +29,16 @@
 VALUES = {"order": (1.4, 0.7), "read": (1.3, 0.27), "upload": (0.7, 0.53)}
 
 
+def oracle_share(load: float) -> float:
+    """Return the value share if all slots were always busy with what is of most value, in time."""
+    room, value = sum(kind.rate * kind.work_s for kind in KINDS) / load, 0.0
+    for kind in sorted(KINDS, key=lambda k: VALUES[k.name][0] / k.work_s, reverse=True):
+        served_share = min(1.0, room / (kind.rate * kind.work_s))
+        room -= served_share * kind.rate * kind.work_s
+        value += served_share * kind.rate * VALUES[kind.name][0]
+    return value / sum(kind.rate * VALUES[kind.name][0] for kind in KINDS)
+
+
 class WaitingModel(LoadModel):
     """Load model that compares the waiting room with decisions without one.
 
@@ -60,12 +70,13 @@
         self._deadlines = [LongestDeadlines() for _ in self.trackers]
         self._shift_speeds()
 
-    def value(self) -> float:
-        """Return the value of all answers."""
-        return sum(
-            self.counts[name].in_time * in_time + self.counts[name].late * late
-            for name, (in_time, late) in VALUES.items()
+    def value_share(self) -> float:
+        """Return the value of all answers as a share of their value if all were in time."""
+        counts = self.counts
+        value = sum(
+            counts[n].in_time * v + counts[n].late * late for n, (v, late) in VALUES.items()
         )
+        return value / sum(counts[n].asked * in_time for n, (in_time, _) in VALUES.items())
 
     def _call_later(self, delay: timedelta, action: Callable[[], None]) -> Any:
         timer = SimpleNamespace(is_active=True)
--- a/laburnumhatch/placement/waiting_room.py
+++ b/laburnumhatch/placement/waiting_room.py
@@ -17,8 +17,8 @@
 LOOK_INTERVAL = milliseconds(25)
 # Interval at which requests are assessed behind one that waits for the same room.
 BLOCKED_INTERVAL = milliseconds(100)
-# Share of the objective for which a request that can only be late waits for spare room.
-LATE_WAIT_SHARE = 0.2
+# Share of the objective for which a request waits that is predicted to be late.
+UNMET_WAIT_SHARE = 0.2
 # Share of an upstream's slots up to which it takes requests of all ranks, so that room isn't lost
 # if more urgent requests lack room elsewhere. With 0.5, less urgent ones took room from the others
 # in the load model.
@@ -34,6 +34,8 @@
     """What can become of a request that is sent now."""
 
     TIMELY = "timely"
+    # In time only if the upstream gets room sooner than predicted.
+    POSSIBLE = "possible"
     LATE = "late"
     HOPELESS = "hopeless"
 
@@ -109,12 +111,14 @@
         Called with the seconds after which there should be room, and a detail.
     place_anew : callable
         Called when `assess` has returned None.
-    entered_at, late_since : timedelta or None
-        When the request began to wait, and since when it can only be late.
+    entered_at, unmet_since : timedelta or None
+        When the request began to wait, and since when it is predicted to be late.
+    is_late : bool
+        Whether the request would be late even if the upstream were idle.
     assessed_at : timedelta
         When the request was last assessed while it waited.
     is_unmet : bool
-        Whether the request was late or refused at some moment.
+        Whether the request was predicted to be late or refused at some moment.
     """
 
     queue: str
@@ -128,7 +132,8 @@
     refuse: Callable[[float, str], None]
     place_anew: Callable[[], None]
     entered_at: timedelta | None = None
-    late_since: timedelta | None = None
+    unmet_since: timedelta | None = None
+    is_late: bool = False
     assessed_at: timedelta = timedelta(days=-1)
     is_unmet: bool = False
 
@@ -141,14 +146,15 @@
             return Standing.HOPELESS
         spent_s = (now - self.started_at).total_seconds()
         objective_s = max(self.objective.total_seconds(), least_s)
-        is_timely = spent_s + prospect.predicted_s <= objective_s
-        return Standing.TIMELY if is_timely else Standing.LATE
+        if spent_s + prospect.predicted_s <= objective_s:
+            return Standing.TIMELY
+        is_possible = spent_s + prospect.service_time_s <= objective_s
+        return Standing.POSSIBLE if is_possible else Standing.LATE
 
     @property
     def order(self) -> tuple[bool, int, timedelta, timedelta]:
         """Place in the queue. Late requests come last, as they only get what others leave."""
-        is_late = self.late_since is not None
-        return is_late, self.rank, self.started_at + self.objective, self.deadline
+        return self.is_late, self.rank, self.started_at + self.objective, self.deadline
 
 
 def queue_limit(
@@ -211,10 +217,9 @@
         now = self._clock.now()
         objective_s = request.objective.total_seconds()
         self._limits.record(request.service, request.rank, objective_s, now)
-        is_late = request.standing(prospect, now) is not Standing.TIMELY
-        request.late_since = now if is_late else None
+        request.is_late = request.standing(prospect, now) is Standing.LATE
         queue = self._queues.get(request.queue, [])
-        is_blocked = any(q.late_since is None and q.order <= request.order for q in queue)
+        is_blocked = any(not q.is_late and q.order <= request.order for q in queue)
         if not self._decide(request, prospect, is_blocked, now):
             return
         request.entered_at = now
@@ -254,7 +259,7 @@
                     self._leave(request, WaitOutcome.MOVED)
                     request.place_anew()
                 elif self._decide(request, prospect, is_blocked, now):
-                    is_blocked = is_blocked or request.late_since is None
+                    is_blocked = is_blocked or not request.is_late
         finally:
             self._is_looking = False
 
@@ -274,8 +279,12 @@
         `is_blocked` says whether timely requests before it wait for the same room.
         """
         standing = request.standing(prospect, now)
+        request.is_late = standing is Standing.LATE
+        if standing is Standing.HOPELESS:
+            self._refuse(request, prospect, "the deadline can't be met")
+            return False
         if standing is Standing.TIMELY:
-            request.late_since = None
+            request.unmet_since = None
             may_send = prospect.has_idle_slots or prospect.predicted_s <= self._limits.limit_s(
                 request.service,
                 request.rank,
@@ -283,17 +292,14 @@
                 prospect.service_time_s,
                 now,
             )
-        elif standing is Standing.LATE:
+        else:
             self._note_unmet(request, now)
-            request.late_since = request.late_since or now
-            may_send = prospect.has_spare_room
-            is_over = now - request.late_since >= request.objective * LATE_WAIT_SHARE
+            request.unmet_since = request.unmet_since or now
+            may_send = request.is_late and prospect.has_spare_room
+            is_over = now - request.unmet_since >= request.objective * UNMET_WAIT_SHARE
             if is_over and (is_blocked or not may_send):
-                self._refuse(request, prospect, "it can only be late")
+                self._refuse(request, prospect, "it can't be in time")
                 return False
-        else:
-            self._refuse(request, prospect, "the deadline can't be met")
-            return False
         if is_blocked or not may_send:
             return True
         self._leave(request, WaitOutcome.SENT)
