--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -137,6 +137,7 @@
             relays=self._relays,
             shared_key=lambda: self._stream_key,
             memory=MemoryBudget(held_bytes_limit(_memory_bytes(settings))),
+            waiting_room=settings.waiting_room,
         )
         self._pool = pool
         self._callers = self._caller_factory(
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -3,6 +3,7 @@
 import os
 import re
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
@@ -54,6 +55,9 @@
         Factor on the requests per second that an upstream tolerates while it warms up, and further
         requests, that together may reach it within a second. Without either, nothing is bounded;
         if one is given, the other is 1 or 0.
+    waiting_room : str, optional
+        Whether requests wait here for room at an upstream instead of being refused: ``on``,
+        ``off``, or ``auto``: while the configuration has a route with large request bodies.
     """
 
     name: str
@@ -76,6 +80,7 @@
     memory_mb: float = DEFAULT_MEMORY_MB
     warmup_overage: float | None = None
     warmup_slack: float | None = None
+    waiting_room: Literal["auto", "on", "off"] = "auto"
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -32,8 +32,9 @@
     "memory_mb": 300,
     "warmup_overage": None,
     "warmup_slack": None,
+    "waiting_room": "auto",
 }
-OPTIONAL = ["memory_mb", "warmup_overage", "warmup_slack"]
+OPTIONAL = ["memory_mb", "warmup_overage", "warmup_slack", "waiting_room"]
 
 
 @pytest.fixture
@@ -65,6 +66,7 @@
         ("memory_mb", "much"),
         ("warmup_overage", -1),
         ("warmup_slack", "some"),
+        ("waiting_room", "sometimes"),
     ],
 )
 def test_error_names_the_invalid_field(write, field, value):
