Estimate how fast each upstream is and how many requests it takes well

Fixed slots and a smoothed service time tell neither an upstream that slows down before it is full nor, from few answers, one that is faster than the others. The instances now report the times of their requests to the leader, which counts the requests in flight afterwards and returns the unloaded time and a concurrency limit of each upstream. Choice, predictions and capacities use them where they are known. It is on by the setting adaptive_concurrency, or while a route has large bodies; otherwise decisions are as before.

Tested: the tests of placement, coordination and gateway pass unchanged.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -14,6 +14,7 @@
 from .announcements import Announcements
 from .broadcast import Broadcaster
 from .candidacy import Candidacy
+from .concurrency_sharing import ConcurrencySharing, is_adaptive
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
 from .load_summary import LoadSummary
@@ -196,6 +197,14 @@
             is_leader=lambda: self.is_leader,
             on_upstreams_changed=self._on_upstreams_changed,
         )
+        self._concurrency = ConcurrencySharing(
+            clock=clock,
+            links=links,
+            load_tracker=load_tracker,
+            upstreams=lambda: self.registry_view.upstreams,
+            leader_name=lambda: self.leader_name,
+            is_leader=lambda: self.is_leader,
+        )
         self._registry_reports = RegistryReports(
             clock=clock,
             links=links,
@@ -321,6 +330,7 @@
         self._clock.call_later(TICK_INTERVAL, self._tick)
         now = self._clock.now()
         is_leader = self._leader is not None
+        self._concurrency.set_enabled(is_adaptive(self._setup.adaptive_concurrency, self.routes))
         self._start_due_reads(now)
         self._configuration.use_pending_if_due()
         if not is_leader:
@@ -328,6 +338,7 @@
             if now - self._leader_heard_at > MAX_STATE_AGE:
                 # The keys may have become less busy, or their owners faster, since.
                 self.key_limits = {}
+                self._concurrency.estimate_alone()
         if not self._is_stopping:
             self._renew_or_take_over(now)
             if self._leader is not None and now - self._update_sent_at >= UPDATE_INTERVAL:
@@ -472,6 +483,7 @@
         for handler in self._leadership_handlers:
             handler()
         self._broadcaster.forget_all()
+        self._concurrency.forget_requests()
         self._summary = LoadSummary(self._load_tracker, self.reserved_slots)
         starting = Deferred.fromCoroutine(self._start_leading(leader))
         starting.addErrback(
@@ -578,6 +590,7 @@
             self._update_sent_at = now
             totals = self._totals(now)
             self.announcements.update_followers()
+            self._concurrency.update_followers()
         update = LeaderUpdate(
             leader=record.member,
             host=record.host,
@@ -634,6 +647,8 @@
             self._report_sent_at = now
             self._links.send(leader, self._load_tracker.collect_report())
             self.announcements.report_to_leader()
+            if now - self._leader_heard_at <= MAX_STATE_AGE:
+                self._concurrency.report_to_leader()
 
     def _handle_report(self, peer: str, report: LoadReport) -> None:
         if self._leader is None:
--- a/laburnumhatch/coordination/member_setup.py
+++ b/laburnumhatch/coordination/member_setup.py
@@ -21,6 +21,8 @@
         Processing power of its machine, in cores of the usual speed.
     is_first_start : bool
         Whether all instances start for the first time, so that there was no leader before.
+    adaptive_concurrency : str
+        Whether estimates of what upstreams take well are used: ``auto``, ``on`` or ``off``.
     """
 
     name: str
@@ -28,3 +30,4 @@
     port: int
     cores: float = 1.0
     is_first_start: bool = False
+    adaptive_concurrency: str = "auto"
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -8,6 +8,7 @@
 __all__ = [
     "COORDINATION_MESSAGES",
     "AnnouncedLimit",
+    "ConcurrencyUpdate",
     "ConfigurationContent",
     "ConfigurationRequest",
     "CrashReport",
@@ -36,8 +37,11 @@
     "ServiceDemand",
     "TermAnswer",
     "TermQuestion",
+    "TimingReport",
     "Totals",
+    "UpstreamConcurrency",
     "UpstreamStats",
+    "UpstreamTimes",
 ]
 
 
@@ -449,6 +453,47 @@
             raise ValueError("the age of a read is negative")
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamTimes:
+    """Requests of an instance to an upstream; see `pack_times`.
+
+    Attributes
+    ----------
+    upstream : str
+    answered : bytes
+        Requests that were answered since the last report.
+    running : bytes
+        Requests without an answer, by their age.
+    """
+
+    upstream: str
+    answered: bytes
+    running: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TimingReport:
+    """All requests of an instance that run or were answered since its last report."""
+
+    upstreams: tuple[UpstreamTimes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamConcurrency:
+    """What an upstream takes well; see `ConcurrencyEstimate`. Zeros say that nothing is known."""
+
+    upstream: str
+    unloaded: timedelta
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConcurrencyUpdate:
+    """Estimates of the leader that have changed since its last message on the stream."""
+
+    upstreams: tuple[UpstreamConcurrency, ...]
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -469,5 +514,7 @@
         RelayPeerList,
         LeadershipYielded,
         RegistryReadReport,
+        TimingReport,
+        ConcurrencyUpdate,
     ),
 )
--- a/laburnumhatch/gateway/attempt.py
+++ b/laburnumhatch/gateway/attempt.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..fleet import Upstream
-from ..placement.choice import plausible_service_time
+from ..placement.choice import typical_service_time
 from ..platform.headers import MISDIRECTED
 from ..transport import CallerRequest
 from .answers import AttemptOutcome, OutcomeKind
@@ -69,6 +69,9 @@
     upstream, now = attempt.upstream, gateway.clock.now()
     load = gateway.load_tracker.load_of(upstream.name)
     load.own_in_flight -= 1
+    if attempt.sent_at is not None:
+        answered_at = now if outcome.kind is OutcomeKind.SUCCESS else None
+        gateway.load_tracker.timings.note_ended(upstream.name, attempt.sent_at, answered_at)
     if outcome.is_unreachable:
         load.record_unreachable(now)
         gateway.pool.close_idle((upstream.host, upstream.port))
@@ -92,7 +95,7 @@
     if not attempt.was_expected_to_wait:
         median_s = gateway.median_service_time_s(attempt.service)
         load = gateway.load_tracker.load_of(name)
-        slowness = plausible_service_time(load.service_time_s, median_s) / median_s
+        slowness = typical_service_time(load, median_s) / median_s
         gateway.work_times.record(attempt.service, attempt.route, answer_time_s / slowness)
     service_time_s = answer_time_s / attempt.relative_time
     gateway.load_tracker.record_answer(
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -90,6 +90,7 @@
                 settings.stream_port,
                 settings.core_speed * settings.core_share,
                 settings.first_start,
+                settings.adaptive_concurrency,
             ),
             store=self._store,
             sources=platform_sources(self._store),
--- a/laburnumhatch/gateway/exchange.py
+++ b/laburnumhatch/gateway/exchange.py
@@ -417,6 +417,8 @@
             self._on_caller_disconnected()
             return None
         self._sent_at = self._gateway.clock.now()
+        timings = self._gateway.load_tracker.timings
+        timings.note_sent(upstream.name, self._sent_at, self._demand.work_ratio)
         self._sends_by_upstream[upstream.name] = self._sends_by_upstream.get(upstream.name, 0) + 1
         return build_outbound_request(request, upstream, self._remaining_s())
 
@@ -625,6 +627,9 @@
             self._peer_call = None
         if self._state is _State.SENT and self._upstream is not None:
             self._gateway.load_tracker.load_of(self._upstream.name).own_in_flight -= 1
+            if self._sent_at is not None:
+                timings = self._gateway.load_tracker.timings
+                timings.note_ended(self._upstream.name, self._sent_at)
             if self._call is not None and abort:
                 self._call.abort()
             elif self._call is not None and self._call.connection is not None:
--- a/laburnumhatch/gateway/pages.py
+++ b/laburnumhatch/gateway/pages.py
@@ -71,6 +71,7 @@
     lines.append("# TYPE laburnumhatch_upstream_in_flight gauge")
     for name, load in sorted(gateway.load_tracker.loads.items()):
         lines.append(f'laburnumhatch_upstream_in_flight{{upstream="{name}"}} {load.in_flight}')
+    lines += _estimate_lines(gateway)
     lines.append("# TYPE laburnumhatch_upstream_request_limit gauge")
     for name, rate_per_s in sorted(gateway.load_tracker.limits.rates_per_s.items()):
         lines.append(f'laburnumhatch_upstream_request_limit{{upstream="{name}"}} {rate_per_s:g}')
@@ -103,6 +104,22 @@
     return lines
 
 
+def _estimate_lines(gateway: Gateway) -> list[str]:
+    estimates = sorted(gateway.load_tracker.estimates.items())
+    lines = ["# TYPE laburnumhatch_upstream_unloaded_seconds gauge"]
+    for name, estimate in estimates:
+        labels = f'upstream="{name}"'
+        lines.append(
+            f"laburnumhatch_upstream_unloaded_seconds{{{labels}}} {estimate.unloaded_s:.4f}"
+        )
+    lines.append("# TYPE laburnumhatch_upstream_concurrency_limit gauge")
+    for name, estimate in estimates:
+        if estimate.limit:
+            labels = f'upstream="{name}"'
+            lines.append(f"laburnumhatch_upstream_concurrency_limit{{{labels}}} {estimate.limit}")
+    return lines
+
+
 def _histogram_lines(name: str, histograms: Mapping[str, Histogram]) -> list[str]:
     lines = [f"# TYPE {name} histogram"]
     for service, histogram in sorted(histograms.items()):
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -3,6 +3,7 @@
 import os
 import re
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
@@ -50,6 +51,9 @@
         or has lost it.
     memory_mb : float, optional
         Memory in MiB at which the platform ends the process.
+    adaptive_concurrency : str, optional
+        Whether the speed and the concurrency limit of each upstream are estimated and used:
+        ``on``, ``off``, or ``auto`` for on while a route has large request bodies.
     """
 
     name: str
@@ -70,6 +74,7 @@
     stop_within: str
     first_start: bool
     memory_mb: float = DEFAULT_MEMORY_MB
+    adaptive_concurrency: Literal["auto", "on", "off"] = "auto"
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
--- a/laburnumhatch/placement/capacities.py
+++ b/laburnumhatch/placement/capacities.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from ..fleet import Upstream, UpstreamIncarnation
-from .choice import median_service_time, plausible_service_time
+from .choice import median_service_time, typical_service_time
 from .loads import LoadTracker
 from .request_limits import MIN_RATE_PER_S
 
@@ -38,11 +38,12 @@
     capacities = {}
     for upstream in upstreams:
         load = load_tracker.load_of(upstream.name)
-        service_time_s = plausible_service_time(load.service_time_s, median_s)
-        # A slow upstream needs more spare capacity to answer within the target time.
-        capacity = (
-            upstream.slots / service_time_s * (median_s / service_time_s) ** SLOWNESS_EXPONENT
-        )
+        service_time_s = typical_service_time(load, median_s)
+        capacity = min(load.concurrency or upstream.slots, upstream.slots) / service_time_s
+        if not load.unloaded_s:
+            # A slow upstream needs more spare capacity to answer within the target time, and its
+            # measured time is less certain than an estimate.
+            capacity *= (median_s / service_time_s) ** SLOWNESS_EXPONENT
         if upstream.warmup_remaining:
             capacity *= WARMUP_CAPACITY_FACTOR
         capacity *= 1.0 - min(MAX_DECLINED_SHARE, load.declined_share(now))
--- a/laburnumhatch/placement/choice.py
+++ b/laburnumhatch/placement/choice.py
@@ -18,6 +18,7 @@
     "choose_upstream",
     "plausible_service_time",
     "predict_answer_time",
+    "typical_service_time",
     "usual_service_time",
     "median_service_time",
 ]
@@ -42,6 +43,9 @@
 # Upper bound of the declined share in a score, so that an upstream that declines requests is still
 # tried from time to time.
 MAX_DECLINED_SHARE = 0.9
+# Factor on the predicted time of a request beyond the upstream's concurrency limit. Requests beyond
+# it take more than twice as long as queueing explains, and delay those that run.
+BEYOND_LIMIT_FACTOR = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +87,7 @@
         is_shared = upstream.name not in self.reserved
         return self.longest_work_ratio if is_shared and self.is_urgent else self.work_ratio
 
-    def relative_time(self, upstream: Upstream, in_flight: int) -> float:
+    def relative_time(self, upstream: Upstream, in_flight: int, slots: int = 0) -> float:
         """Return the time to the answer as a multiple of the upstream's service time.
 
         Requests beyond the number of slots wait for others to end.
@@ -93,8 +97,10 @@
         upstream : Upstream
         in_flight : int
             Requests in flight to the upstream, including this one.
+        slots : int, optional
+            Number of requests that run concurrently, if not the upstream's slots.
         """
-        waiting_per_slot = max(0.0, in_flight / upstream.slots - 1.0)
+        waiting_per_slot = max(0.0, in_flight / (slots or upstream.slots) - 1.0)
         return waiting_per_slot * self.queued_work_ratio(upstream) + self.work_ratio
 
 
@@ -106,10 +112,19 @@
     upstream: Upstream, load: UpstreamLoad, median_s: float, demand: Demand = AVERAGE_DEMAND
 ) -> float:
     """Return the predicted time to the answer of a request that is sent now, in seconds."""
-    service_time_s = plausible_service_time(load.service_time_s, median_s)
+    service_time_s = typical_service_time(load, median_s)
     if upstream.warmup_remaining:
         service_time_s = max(service_time_s, usual_service_time(upstream, median_s))
-    return service_time_s * demand.relative_time(upstream, load.in_flight + 1)
+    if not load.concurrency:
+        return service_time_s * demand.relative_time(upstream, load.in_flight + 1)
+    slots = min(upstream.slots, load.concurrency)
+    predicted_s = service_time_s * demand.relative_time(upstream, load.in_flight + 1, slots)
+    return predicted_s * BEYOND_LIMIT_FACTOR if _is_beyond_limit(load) else predicted_s
+
+
+def _is_beyond_limit(load: UpstreamLoad) -> bool:
+    """Return whether one more request would be beyond the upstream's concurrency limit."""
+    return 0 < load.concurrency <= load.in_flight
 
 
 def usual_service_time(upstream: Upstream, median_s: float) -> float:
@@ -158,7 +173,8 @@
 
 def median_service_time(loads: Iterable[UpstreamLoad]) -> float:
     """Return the median service time of a service's upstreams, in seconds."""
-    known_times_s = sorted(load.service_time_s for load in loads if load.service_time_s)
+    times_s = (load.unloaded_s or load.service_time_s for load in loads)
+    known_times_s = sorted(time_s for time_s in times_s if time_s)
     return known_times_s[len(known_times_s) // 2] if known_times_s else DEFAULT_SERVICE_TIME_S
 
 
@@ -173,6 +189,11 @@
     return max(service_time_s, median_s * MIN_SERVICE_TIME_SHARE) if service_time_s else median_s
 
 
+def typical_service_time(load: UpstreamLoad, median_s: float) -> float:
+    """Return the estimated time of an upstream in seconds, or else the plausible measured one."""
+    return load.unloaded_s or plausible_service_time(load.service_time_s, median_s)
+
+
 def choose_upstream(
     candidates: Collection[Upstream],
     load_of: Callable[[str], UpstreamLoad],
@@ -218,7 +239,7 @@
     )
     remote_factor = REMOTE_FACTOR_BULKY if demand.is_bulky else REMOTE_FACTOR
     best: Choice | None = None
-    best_rank = (True, 0.0)
+    best_rank = (True, True, 0.0)
     for upstream in candidates:
         load = load_of(upstream.name)
         predicted_s = predict_answer_time(upstream, load, median_s, demand)
@@ -227,7 +248,7 @@
         score = predicted_s / accepted_share * (1.0 + JITTER * rng.random())
         if upstream.data_centre != data_centre:
             score *= remote_factor
-        rank = (now < load.avoid_until, score)
+        rank = (now < load.avoid_until, _is_beyond_limit(load), score)
         if best is None or rank < best_rank:
             best, best_rank = Choice(upstream, predicted_s), rank
     return best
--- a/laburnumhatch/placement/loads.py
+++ b/laburnumhatch/placement/loads.py
@@ -7,7 +7,9 @@
 
 from ..clocks import milliseconds
 from ..coordination.messages import KeyCount, LoadReport, RouteDemand, UpstreamStats
+from .concurrency import ConcurrencyEstimate
 from .request_limits import RequestLimits
+from .request_timings import RequestTimings
 
 __all__ = ["LoadTracker", "UpstreamLoad", "UpstreamTotals"]
 
@@ -76,6 +78,10 @@
         Value of `own_in_flight` in the last report.
     totals_number : int
         Number of the totals that `others_in_flight` is from; see `LoadTracker`.
+    unloaded_s : float
+        Estimated time of a request while slots are free, in seconds; 0 if it isn't estimated.
+    concurrency : int
+        Number of concurrent requests beyond which answers are slow; 0 if none is known.
     """
 
     own_in_flight: int = 0
@@ -92,6 +98,8 @@
     unreported_service_time_s: float = 0.0
     reported_in_flight: int = 0
     totals_number: int = 0
+    unloaded_s: float = 0.0
+    concurrency: int = 0
 
     @property
     def in_flight(self) -> int:
@@ -150,6 +158,10 @@
         Expected work of the requests since the last report by service and priority, in seconds.
     limits : RequestLimits
         Limits that upstreams announced.
+    timings : RequestTimings
+        Times of this instance's requests since the last report of them.
+    estimates : dict of str to ConcurrencyEstimate
+        What upstreams take well, by name.
 
     Notes
     -----
@@ -161,6 +173,8 @@
     key_counts: dict[tuple[str, int, int], int] = field(default_factory=dict)
     demands_s: dict[tuple[str, int], float] = field(default_factory=dict)
     limits: RequestLimits = field(default_factory=RequestLimits)
+    timings: RequestTimings = field(default_factory=RequestTimings)
+    estimates: dict[str, ConcurrencyEstimate] = field(default_factory=dict)
     _totals_at: timedelta = timedelta(days=-1)
     _find_total: Callable[[str], UpstreamTotals | None] | None = None
     _totals_number: int = 0
@@ -170,6 +184,8 @@
         load = self.loads.get(name)
         if load is None:
             load = self.loads[name] = UpstreamLoad()
+            if name in self.estimates:
+                self.set_estimate(name, self.estimates[name])
         if load.totals_number != self._totals_number:
             self._apply_total(name, load)
         return load
@@ -178,11 +194,22 @@
         """Remove the other upstreams, except those with requests of this instance in flight."""
         kept_names = set(names)
         self.limits.retain(kept_names, now)
+        self.estimates = {n: e for n, e in self.estimates.items() if n in kept_names}
         for name in [
             n for n, load in self.loads.items() if n not in kept_names and not load.own_in_flight
         ]:
             del self.loads[name]
 
+    def set_estimate(self, name: str, estimate: ConcurrencyEstimate) -> None:
+        """Set what an upstream takes well; an estimate of zeros removes it."""
+        if estimate == ConcurrencyEstimate():
+            self.estimates.pop(name, None)
+        else:
+            self.estimates[name] = estimate
+        load = self.loads.get(name)
+        if load is not None:
+            load.unloaded_s, load.concurrency = estimate.unloaded_s, estimate.limit
+
     def count_key(self, service: str, key: int, priority: int) -> None:
         """Count a request for a key."""
         counted = (service, key, priority)
