--- a/laburnumhatch/placement/concurrency.py
+++ b/laburnumhatch/placement/concurrency.py
@@ -35,6 +35,9 @@
 MIN_MEAN_RATIO = 1.0
 MAX_MEAN_RATIO = 2.0
 MEAN_RATIO_WEIGHT = 0.002
+# Largest multiple of the quantile as which an answer counts in that ratio. Longer times tell of a
+# limit that isn't found yet.
+MAX_RELATIVE_TIME = 4.0
 # Factor on the explained time from which a request counts as slow. Times of single requests vary.
 SLOW_FACTOR = 2.1
 # Factor from which it counts fully. Noise of three times the usual time mostly counts less.
@@ -136,12 +139,10 @@
         return log(max(seconds, MIN_ANSWER_TIME_S) / (request.work_ratio + waiting))
 
     def tells_unloaded_time(self, request: TimedRequest, log_time: float) -> bool:
-        """Return whether a time is one of the unloaded upstream.
+        """Return whether a time within the limit is one of the unloaded upstream.
 
-        Slow requests beside many others may tell of a limit instead.
+        Slow requests beside many others may tell of a lower limit instead.
         """
-        if request.in_flight > min(self.slots, self.limit or self.slots):
-            return False
         is_slow = self.log_time is not None and log_time - self.log_time > log(SLOW_FACTOR)
         return not is_slow or request.in_flight <= max(1, self.slots // 2)
 
@@ -229,18 +230,19 @@
         if not settled:
             return
         state.pending = [r for r in state.pending if now - r.seen_at < SETTLING_TIME]
-        times = []
+        log_times = []
         for request in settled:
             request.in_flight = state.requests_before(request.sent_at)
-            log_time = state.relative_log_time(request)
-            if state.tells_unloaded_time(request, log_time):
-                times.append(log_time)
-                state.log_times.append((request.seen_at, log_time))
-        if times:
+            if request.in_flight <= min(state.slots, state.limit or state.slots):
+                log_times.append(state.relative_log_time(request))
+                if state.tells_unloaded_time(request, log_times[-1]):
+                    state.log_times.append((request.seen_at, log_times[-1]))
+        if state.log_times and log_times:
             state.log_time = self._quantile(service, state, now)
             ratio = self._mean_ratios.get(service, 1.0)
-            for time in times:
-                ratio += (exp(time - state.log_time) - ratio) * MEAN_RATIO_WEIGHT
+            for log_time in log_times:
+                relative = min(exp(log_time - state.log_time), MAX_RELATIVE_TIME)
+                ratio += (relative - ratio) * MEAN_RATIO_WEIGHT
             self._mean_ratios[service] = min(max(ratio, MIN_MEAN_RATIO), MAX_MEAN_RATIO)
         while state.answered and now - state.answered[0].seen_at > HISTORY:
             state.answered.popleft()
