Spread a range of keys that became busy together at once

A round moved at most a quarter of the upstreams' number of ranges, took rates of single keys from 0.7 s (one to four requests each) and moved no key whose rate was above the least busy owner's deficit. With adaptive concurrency, rates in a dense range are smoothed over the range, others are long-term ones, and more moves begin in a round.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -505,7 +505,8 @@
             return
         capacities = capacities_for_keys(self._capacities(leases.service, now), self._load_tracker)
         if len(capacities) > 1:
-            for move in rebalance(leases, capacities, now):
+            spreads_ranges = self._load_tracker.timings.is_enabled
+            for move in rebalance(leases, capacities, now, spreads_ranges=spreads_ranges):
                 _log.info(
                     "keys {}-{} of {} go to {} for balance",
                     move.first,
--- a/laburnumhatch/keyspace/balance.py
+++ b/laburnumhatch/keyspace/balance.py
@@ -21,6 +21,9 @@
 # Number of standard deviations of the request count by which a load must exceed its fair share. A
 # move delays the requests for its keys, so random variation must not cause one.
 SIGNIFICANCE_DEVIATIONS = 2.0
+# The same while a range of busy keys is spread: their rates are smoothed over the range, so they
+# vary less by chance than single counts.
+SPREADING_DEVIATIONS = 1.2
 # Maximum width of a moved range: a few requests spread over many keys say little about each key.
 MAX_KEYS_PER_MOVE = 2048
 # Smallest and largest load of a moved range, as shares of the load that should be moved.
@@ -59,6 +62,8 @@
     capacities: Mapping[UpstreamIncarnation, float],
     window_s: float,
     max_moves: int,
+    *,
+    is_spreading: bool = False,
 ) -> list[KeyMove]:
     """Return moves that even out the utilisation of the upstreams.
 
@@ -74,6 +79,9 @@
         Length of the time window over which the rates were measured, in seconds.
     max_moves : int
         Maximum number of moves to return.
+    is_spreading : bool, optional
+        Whether a range of busy keys is spread. Then a key that takes the receiver past the mean is
+        moved if the receiver stays clearly less utilised than the owner.
     """
     keys = sorted(rates)
     loads = {incarnation: 0.0 for incarnation in capacities}
@@ -98,6 +106,7 @@
     by_low = [(utilisation, i) for i, utilisation in utilisations.items()]
     heapify(by_high)
     heapify(by_low)
+    deviations = SPREADING_DEVIATIONS if is_spreading else SIGNIFICANCE_DEVIATIONS
     while len(moves) < max_moves:
         _drop_outdated(by_high, utilisations, -1.0)
         _drop_outdated(by_low, utilisations, 1.0)
@@ -110,7 +119,7 @@
         excess = loads[busiest] - capacities[busiest] * (
             low if low < IDLE_UTILISATION_SHARE * mean else mean
         )
-        if not _is_significant(excess, loads[busiest], window_s):
+        if not _is_significant(excess, loads[busiest], window_s, deviations):
             heappop(by_high)
             continue
         # The smaller of the surplus of one and the deficit of the other, so that the move takes
@@ -120,6 +129,11 @@
             capacities[least_busy] * mean - loads[least_busy],
         )
         best_range = _best_range(owned[busiest], keys, rates, target_rate)
+        if best_range is None and is_spreading:
+            accepted_rate = capacities[least_busy] * (high - MIN_UTILISATION_GAP)
+            best_range = _least_busy_key(
+                owned[busiest], keys, rates, target_rate, accepted_rate - loads[least_busy]
+            )
         if best_range is None:
             heappop(by_high)
             continue
@@ -149,9 +163,9 @@
         heappop(heap)
 
 
-def _is_significant(excess: float, rate: float, window_s: float) -> bool:
+def _is_significant(excess: float, rate: float, window_s: float, deviations: float) -> bool:
     """Return whether the excess of a rate is statistically significant."""
-    return excess * window_s > SIGNIFICANCE_DEVIATIONS * math.sqrt(rate * window_s)
+    return excess * window_s > deviations * math.sqrt(rate * window_s)
 
 
 def _best_range(
@@ -182,6 +196,22 @@
     return best
 
 
+def _least_busy_key(
+    spans: Sequence[OwnedSpan],
+    keys: Sequence[int],
+    rates: Mapping[int, float],
+    min_rate: float,
+    max_rate: float,
+) -> tuple[int, int, float, OwnedSpan] | None:
+    """Return the key with the lowest rate within the bounds, as `_best_range` does."""
+    best: tuple[int, int, float, OwnedSpan] | None = None
+    for span in spans:
+        for key in keys[bisect_left(keys, span.first) : bisect_right(keys, span.last)]:
+            if min_rate <= rates[key] <= max_rate and (best is None or rates[key] < best[2]):
+                best = key, key, rates[key], span
+    return best
+
+
 def _is_better(
     rate: float, width: int, best: tuple[int, int, float, OwnedSpan], target_rate: float
 ) -> bool:
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -8,6 +8,7 @@
 from ..clocks import milliseconds
 from ..fleet import Upstream, UpstreamIncarnation
 from .balance import KeyMove, OwnedSpan, plan_moves
+from .busy_ranges import current_rates
 from .hot_keys import KeyLimits, clip_hot_rates, plan_hot_key_moves, plan_key_limits
 from .key_rates import KeyRates
 from .lease import (
@@ -60,6 +61,9 @@
 # upstreams, but not less than `MIN_CONCURRENT_MOVES`.
 MIN_CONCURRENT_MOVES = 5
 UPSTREAMS_PER_MOVE = 4
+# The same while a range of busy keys is spread. All its moves take keys from one owner, which has
+# to answer an order for each.
+UPSTREAMS_PER_SPREADING_MOVE = 2
 # Average number of leases per upstream above which adjacent ranges of one owner are merged, and
 # above which narrow ranges are moved to be merged; and the largest of both numbers for a service.
 MAX_LEASES_PER_UPSTREAM = 3
@@ -229,11 +233,17 @@
 
 
 def rebalance(
-    leases: ServiceLeases, capacities: Mapping[UpstreamIncarnation, float], now: timedelta
+    leases: ServiceLeases,
+    capacities: Mapping[UpstreamIncarnation, float],
+    now: timedelta,
+    *,
+    spreads_ranges: bool = False,
 ) -> list[KeyMove]:
     """Move busy keys from busy upstreams to idle ones and return the moves.
 
     While there are many ranges, others that have few requests are moved beside their neighbours.
+    With `spreads_ranges`, neighbouring keys that have become busy together are spread at once, and
+    other keys are moved for lasting differences only.
     """
     spans = owned_spans(leases, now)
     recent = leases.short_term_rates
@@ -245,8 +255,10 @@
     )
     max_moves = max(MIN_CONCURRENT_MOVES, len(capacities) // UPSTREAMS_PER_MOVE)
     may_split = len(leases.leases) < MAX_RANGES
+    if spreads_ranges and not moves and may_split:
+        moves = _spreading_moves(leases, spans, capacities, now)
     for rates in (leases.short_term_rates, leases.long_term_rates):
-        if not moves and may_split:
+        if not spreads_ranges and not moves and may_split:
             window_s = rates.window_s(now)
             kept_spans, clipped = clip_hot_rates(spans, rates.rates(now), capacities)
             moves = plan_moves(kept_spans, clipped, capacities, window_s, max_moves)
@@ -266,6 +278,23 @@
     return moves
 
 
+def _spreading_moves(
+    leases: ServiceLeases,
+    spans: list[OwnedSpan],
+    capacities: Mapping[UpstreamIncarnation, float],
+    now: timedelta,
+) -> list[KeyMove]:
+    short, long = leases.short_term_rates, leases.long_term_rates
+    rates, has_busy_range = current_rates(short.rates(now), short.window_s(now), long.rates(now))
+    upstreams_per_move = UPSTREAMS_PER_SPREADING_MOVE if has_busy_range else UPSTREAMS_PER_MOVE
+    max_moves = max(MIN_CONCURRENT_MOVES, len(capacities) // upstreams_per_move)
+    kept_spans, clipped = clip_hot_rates(spans, rates, capacities)
+    window_s = long.window_s(now)
+    return plan_moves(
+        kept_spans, clipped, capacities, window_s, max_moves, is_spreading=has_busy_range
+    )
+
+
 def max_narrow_leases(upstream_count: int) -> int:
     """Return the number of leases above which narrow ranges are moved to be merged."""
     return min(MERGING_LEASES_PER_UPSTREAM * max(1, upstream_count), MAX_UNMERGED_LEASES)
--- a/laburnumhatch/placement/concurrency.py
+++ b/laburnumhatch/placement/concurrency.py
@@ -21,21 +21,28 @@
 # Time for which answers are kept, to count the requests in flight beside others.
 HISTORY = milliseconds(4000)
 # Number of answers, and their half-life, from which the time of an unloaded upstream is estimated.
-# The half-life covers several periods of noise of 400 ms.
-MAX_TIMES = 64
-TIMES_HALF_LIFE = milliseconds(4000)
-# Estimated quantile of these times. It is below the median, because slow periods add long times.
+# Speeds persist while an upstream lives, and noise lasts 400 ms.
+MAX_TIMES = 80
+TIMES_HALF_LIFE = milliseconds(8000)
+# The mean is taken of the answers up to this multiple of a quantile. Those of slow periods are
+# longer, and their share varies.
 QUANTILE = 0.4
+USUAL_FACTOR = 1.9
+# Number of the last answers, and the time that they span at least, of which a mean that differs by
+# the factor from that of the others shows that the upstream has changed.
+CHANGE_ANSWERS = 12
+CHANGE_SPAN = milliseconds(1200)
+CHANGE_FACTOR = 1.6
 # Number of answers for which the service's median, or an estimate of a former leader, counts, so
 # that one or two answers of unusual length don't decide.
 PRIOR_ANSWERS = 1.5
 ADOPTED_ANSWERS = 6.0
-# Bounds of the ratio of the mean time to the estimated quantile, and the weight of one answer in
+# Bounds of the ratio of the mean time to the estimated time, and the weight of one answer in
 # the smoothed ratio.
 MIN_MEAN_RATIO = 1.0
 MAX_MEAN_RATIO = 2.0
 MEAN_RATIO_WEIGHT = 0.002
-# Largest multiple of the quantile as which an answer counts in that ratio. Longer times tell of a
+# Largest multiple of the estimated time as which an answer counts in that ratio. Longer times tell of a
 # limit that isn't found yet.
 MAX_RELATIVE_TIME = 4.0
 # Factor on the explained time from which a request counts as slow. Times of single requests vary.
@@ -238,7 +245,7 @@
                 if state.tells_unloaded_time(request, log_times[-1]):
                     state.log_times.append((request.seen_at, log_times[-1]))
         if state.log_times and log_times:
-            state.log_time = self._quantile(service, state, now)
+            state.log_time = self._typical_log_time(service, state, now)
             ratio = self._mean_ratios.get(service, 1.0)
             for log_time in log_times:
                 relative = min(exp(log_time - state.log_time), MAX_RELATIVE_TIME)
@@ -247,17 +254,16 @@
         while state.answered and now - state.answered[0].seen_at > HISTORY:
             state.answered.popleft()
 
-    def _quantile(self, service: str, state: _UpstreamState, now: timedelta) -> float:
-        weighted = sorted(
-            (log_time, 0.5 ** ((now - at) / TIMES_HALF_LIFE)) for at, log_time in state.log_times
-        )
-        total = sum(weight for _, weight in weighted)
-        found, below = weighted[-1][0], 0.0
-        for log_time, weight in weighted:
-            below += weight
-            if below >= total * QUANTILE:
-                found = log_time
-                break
+    def _typical_log_time(self, service: str, state: _UpstreamState, now: timedelta) -> float:
+        recent = list(state.log_times)[-CHANGE_ANSWERS:]
+        if len(state.log_times) > CHANGE_ANSWERS and recent[-1][0] - recent[0][0] >= CHANGE_SPAN:
+            former = list(state.log_times)[:-CHANGE_ANSWERS]
+            change = _usual_mean(recent, now)[0] - _usual_mean(former, now)[0]
+            if abs(change) > log(CHANGE_FACTOR):
+                state.log_times.clear()
+                state.log_times.extend(recent)
+                state.prior = None
+        found, total = _usual_mean(state.log_times, now)
         prior = state.prior
         if prior is None and service in self._medians:
             prior = (self._medians[service], PRIOR_ANSWERS)
@@ -328,6 +334,24 @@
     return 1.0 if log_ratio > log(VERY_SLOW_FACTOR) else SLOW_WEIGHT
 
 
+def _usual_mean(
+    log_times: Collection[tuple[timedelta, float]], now: timedelta
+) -> tuple[float, float]:
+    """Return the weighted mean of the usual times, and the weight of all."""
+    weighted = sorted(
+        (log_time, 0.5 ** ((now - at) / TIMES_HALF_LIFE)) for at, log_time in log_times
+    )
+    total = sum(weight for _, weight in weighted)
+    anchor, below = weighted[-1][0], 0.0
+    for log_time, weight in weighted:
+        below += weight
+        if below >= total * QUANTILE:
+            anchor = log_time
+            break
+    usual = [(t, weight) for t, weight in weighted if t <= anchor + log(USUAL_FACTOR)]
+    return sum(t * weight for t, weight in usual) / sum(weight for _, weight in usual), total
+
+
 def _best_level(outcomes: list[tuple[timedelta, int, float]], max_level: int) -> tuple[int, float]:
     """Return the level with the strongest evidence for a slow-down beyond it, and the evidence.
 
--- a/laburnumhatch/placement/tests/keyed_model.py
+++ b/laburnumhatch/placement/tests/keyed_model.py
@@ -7,9 +7,10 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from functools import partial
 
-from ...fleet import Upstream
+from ...fleet import Upstream, UpstreamIncarnation
 from ...keyspace import GrantOrder, LeaseTiming, RangeLease, ReleaseOrder, ServiceLeases
 from ...keyspace.effects import OrderAcknowledged
 from ...keyspace.hot_keys import KeyLimits
@@ -186,12 +187,15 @@
             counts.clear()
         capacities = {u.incarnation: self._capacity(u) for u in self.upstreams}
         if not self.leases.is_dirty:
-            rebalance(self.leases, capacities, now)
+            self._rebalance(capacities, now)
             merge_adjacent_ranges(self.leases, len(self.upstreams), now)
         if self.limits_keys:
             self.limits = key_limits(self.leases, capacities, now)
         self._later(WRITE_DELAY_S, self._written)
 
+    def _rebalance(self, capacities: dict[UpstreamIncarnation, float], now: timedelta) -> None:
+        rebalance(self.leases, capacities, now)
+
     def _capacity(self, upstream: Upstream) -> float:
         loads = [self.leader.load_of(u.name) for u in self.upstreams]
         median_s = median_service_time(loads)
