--- a/laburnumhatch/coordination/concurrency_sharing.py
+++ b/laburnumhatch/coordination/concurrency_sharing.py
@@ -122,7 +122,6 @@
         timings.is_enabled = is_enabled
         _log.info("adaptive concurrency is {}", "on" if is_enabled else "off")
         timings.clear()
-        self._received.clear()
         self.forget_requests()
         for name in list(self._load_tracker.estimates):
             self._load_tracker.set_estimate(name, ConcurrencyEstimate())
@@ -264,13 +263,14 @@
     def _handle_update(self, peer: str, update: ConcurrencyUpdate) -> None:
         if self._is_leader() or peer != self._leader_name():
             return
-        if not self._load_tracker.timings.is_enabled:
-            return
+        is_enabled = self._load_tracker.timings.is_enabled
         for upstream in update.upstreams:
             unloaded_s = max(upstream.unloaded.total_seconds(), 0.0)
             estimate = ConcurrencyEstimate(unloaded_s, max(upstream.limit, 0))
             self._received[upstream.upstream] = estimate
-            self._load_tracker.set_estimate(upstream.upstream, estimate)
+            # A configuration comes into force at the leader and here at different times.
+            if is_enabled:
+                self._load_tracker.set_estimate(upstream.upstream, estimate)
 
 
 def _has_changed(former: ConcurrencyEstimate, present: ConcurrencyEstimate) -> bool:
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -30,8 +30,9 @@
     "stop_within": "6s",
     "first_start": False,
     "memory_mb": 300,
+    "adaptive_concurrency": "auto",
 }
-OPTIONAL = ["memory_mb"]
+OPTIONAL = ["memory_mb", "adaptive_concurrency"]
 
 
 @pytest.fixture
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -285,7 +285,13 @@
     now: timedelta,
 ) -> list[KeyMove]:
     short, long = leases.short_term_rates, leases.long_term_rates
-    rates, has_busy_range = current_rates(short.rates(now), short.window_s(now), long.rates(now))
+    # `LIMIT_HALF_LIFE` is half of the short half-life.
+    half_short: dict[int, float] = {}
+    for (key, _), rate in leases.priority_rates.rates(now).items():
+        half_short[key] = half_short.get(key, 0.0) + rate
+    rates, has_busy_range = current_rates(
+        short.rates(now), short.window_s(now), long.rates(now), half_short
+    )
     upstreams_per_move = UPSTREAMS_PER_SPREADING_MOVE if has_busy_range else UPSTREAMS_PER_MOVE
     max_moves = max(MIN_CONCURRENT_MOVES, len(capacities) // upstreams_per_move)
     kept_spans, clipped = clip_hot_rates(spans, rates, capacities)
--- a/laburnumhatch/placement/concurrency.py
+++ b/laburnumhatch/placement/concurrency.py
@@ -42,8 +42,8 @@
 MIN_MEAN_RATIO = 1.0
 MAX_MEAN_RATIO = 2.0
 MEAN_RATIO_WEIGHT = 0.002
-# Largest multiple of the estimated time as which an answer counts in that ratio. Longer times tell of a
-# limit that isn't found yet.
+# Largest multiple of the estimated time as which an answer counts in that ratio. Longer times tell
+# of a limit that isn't found yet.
 MAX_RELATIVE_TIME = 4.0
 # Factor on the explained time from which a request counts as slow. Times of single requests vary.
 SLOW_FACTOR = 2.1
@@ -55,7 +55,7 @@
 # Requests are evidence for this time after they were sent.
 EVIDENCE_WINDOW = milliseconds(3500)
 # Evidence at which a limit takes effect. A slow period of 400 ms gives less.
-LIMIT_EVIDENCE = 4.5
+LIMIT_EVIDENCE = 4.0
 # The same for a time after the limit has changed.
 CONFIRMING_EVIDENCE = 2.0
 CONFIRMING_TIME = milliseconds(3000)
@@ -65,8 +65,9 @@
 # time that the limit is found again.
 INITIAL_PROBE_INTERVAL = milliseconds(2000)
 MAX_PROBE_INTERVAL = milliseconds(8000)
-# Number of answers at the limit that a probe needs, none of them slow.
+# Number of answers at the limit that a probe needs, and their number for each slow one.
 MIN_FAST_AT_LIMIT = 3
+FAST_FOR_EACH_SLOW = 2
 # Shortest answer time that is used, in seconds: less can't be measured.
 MIN_ANSWER_TIME_S = 1e-4
 
@@ -288,8 +289,9 @@
                 state.limit, state.limited_at, state.is_probing = level, now, False
                 return
         if state.limit and now - state.limited_at >= state.probe_interval:
-            at_limit = [bool(slow) for _, in_flight, slow in outcomes if in_flight >= state.limit]
-            if at_limit.count(False) >= max(MIN_FAST_AT_LIMIT, 2 * at_limit.count(True)):
+            at_limit = [s > 0.0 for _, in_flight, s in outcomes if in_flight >= state.limit]
+            slow = at_limit.count(True)
+            if at_limit.count(False) >= max(MIN_FAST_AT_LIMIT, FAST_FOR_EACH_SLOW * slow):
                 self._raise_limit(state, now)
 
     def _outcomes(
--- a/laburnumhatch/placement/tests/load_model.py
+++ b/laburnumhatch/placement/tests/load_model.py
@@ -71,6 +71,7 @@
     retries_left: int
     key: int = 0
     is_hot: bool = False
+    instance: int = 0
 
 
 class LoadModel:
--- a/laburnumhatch/placement/tests/uneven_model.py
+++ b/laburnumhatch/placement/tests/uneven_model.py
@@ -128,9 +128,6 @@
     ----------
     hot_ranges : list of (float, float, int, int, float)
         Begin and end in seconds, first key, number of keys and share of the requests.
-    utilisations : list of (float, float)
-        Ratio of the busiest upstream's utilisation by arriving requests to the mean one, by time in
-        seconds.
     move_times : list of float
         When each move of keys began, in seconds.
     """
