--- a/laburnumhatch/coordination/concurrency_sharing.py
+++ b/laburnumhatch/coordination/concurrency_sharing.py
@@ -24,6 +24,9 @@
 MIN_LOG_CHANGE = 0.06
 # Time between two evaluations of an instance that has no leader.
 ALONE_INTERVAL = milliseconds(250)
+# Time after which a leader that has sent no estimates has none: one of an older build doesn't know
+# them, and those that were made without it would never change.
+SILENCE_LIMIT = milliseconds(5000)
 # Name under which an instance adds its own requests.
 OWN = ""
 
@@ -110,6 +113,7 @@
         self._peer_numbers: dict[str, int] = {}
         # Estimates as received from the leader over the present stream.
         self._received: dict[str, ConcurrencyEstimate] = {}
+        self._connected_at = timedelta(days=-1)
         links.add_handler(TimingReport, self._handle_report)
         links.add_handler(ConcurrencyUpdate, self._handle_update)
         links.add_connect_handler(self._on_connected)
@@ -176,6 +180,9 @@
         was_alone = self._estimator is not None
         self.forget_requests()
         tracker, upstreams = self._load_tracker, self._upstreams()
+        if not self._received and self._clock.now() - self._connected_at > SILENCE_LIMIT:
+            for name in list(tracker.estimates):
+                tracker.set_estimate(name, ConcurrencyEstimate())
         for name, estimate in self._received.items():
             if name in upstreams and (was_alone or name not in tracker.estimates):
                 tracker.set_estimate(name, estimate)
@@ -184,6 +191,7 @@
         self._peer_numbers.pop(peer, None)
         if peer == self._leader_name():
             self._received.clear()
+            self._connected_at = self._clock.now()
 
     def _estimate(self) -> None:
         now, upstreams = self._clock.now(), self._upstreams()
--- a/laburnumhatch/coordination/tests/test_concurrency_sharing.py
+++ b/laburnumhatch/coordination/tests/test_concurrency_sharing.py
@@ -139,3 +139,17 @@
 
 def test_auto_is_off_without_a_configuration():
     assert not is_adaptive("auto", None) and is_adaptive("on", None)
+
+
+def test_estimates_are_dropped_under_a_leader_that_knows_none(cluster):
+    # Fails if estimates that a member made alone stay for good under a leader of an older build.
+    play(cluster, 4, {"u1": 0.1})
+    (leader,) = cluster.leaders()
+    cluster.members[leader]._concurrency.update_followers = lambda: None
+    for name, member in cluster.members.items():
+        if name != leader:
+            member._concurrency._on_connected(leader)
+    cluster.run(4)
+    assert all(times_of(member) for member in cluster.members.values())
+    cluster.run(2)
+    assert not any(times_of(m) for name, m in cluster.members.items() if name != leader)
