Choose among equally likely limits by the slots, and keep the weight of slowness

Slow owners get fewer keys by the same exponent as before: with 1.0 fast owners would be loaded by 1.6 times the mean. Reports list upstreams in the order of their requests, so that plays repeat.

--- a/laburnumhatch/placement/capacities.py
+++ b/laburnumhatch/placement/capacities.py
@@ -13,8 +13,6 @@
 # Exponent by which the capacity of a slow upstream is reduced further, applied to the ratio of the
 # median service time to its own.
 SLOWNESS_EXPONENT = 0.5
-# The same for an estimated time, which is more certain than the smoothed one.
-ESTIMATED_SLOWNESS_EXPONENT = 1.0
 # Share of the limit that an upstream announced for which it is given keys: it is in need, and
 # requests beyond the limit are refused.
 LIMITED_CAPACITY_SHARE = 0.3
@@ -43,8 +41,7 @@
         service_time_s = typical_service_time(load, median_s)
         capacity = min(load.concurrency or upstream.slots, upstream.slots) / service_time_s
         # A slow upstream needs more spare capacity to answer within the target time.
-        exponent = ESTIMATED_SLOWNESS_EXPONENT if load.unloaded_s else SLOWNESS_EXPONENT
-        capacity *= (median_s / service_time_s) ** exponent
+        capacity *= (median_s / service_time_s) ** SLOWNESS_EXPONENT
         if upstream.warmup_remaining:
             capacity *= WARMUP_CAPACITY_FACTOR
         capacity *= 1.0 - min(MAX_DECLINED_SHARE, load.declined_share(now))
--- a/laburnumhatch/placement/concurrency.py
+++ b/laburnumhatch/placement/concurrency.py
@@ -282,7 +282,7 @@
         if any(slowness for _, _, slowness in outcomes):
             is_recent = state.limit > 0 and now - state.limited_at < CONFIRMING_TIME
             needed = CONFIRMING_EVIDENCE if is_recent else LIMIT_EVIDENCE
-            level, evidence = _best_level(outcomes, state.slots * LEVELS_PER_SLOT)
+            level, evidence = _best_level(outcomes, state.slots)
             if evidence >= needed and (not state.limit or level < state.limit):
                 if state.is_probing:
                     state.probe_interval = min(state.probe_interval * 2, MAX_PROBE_INTERVAL)
@@ -354,15 +354,18 @@
     return sum(t * weight for t, weight in usual) / sum(weight for _, weight in usual), total
 
 
-def _best_level(outcomes: list[tuple[timedelta, int, float]], max_level: int) -> tuple[int, float]:
+def _best_level(outcomes: list[tuple[timedelta, int, float]], slots: int) -> tuple[int, float]:
     """Return the level with the strongest evidence for a slow-down beyond it, and the evidence.
 
-    Of levels with equal evidence, the one in the middle is returned.
+    Of levels with equal evidence, the one in the middle is returned, but none below half of the
+    slots if that is among them: few upstreams slow down earlier.
     """
-    by_level = {level: _evidence(outcomes, level) for level in range(1, max_level + 1)}
+    levels = range(1, slots * LEVELS_PER_SLOT + 1)
+    by_level = {level: _evidence(outcomes, level) for level in levels}
     strongest = max(by_level.values())
     equal = [level for level, evidence in by_level.items() if evidence == strongest]
-    return equal[len(equal) // 2], strongest
+    middle, half = equal[(len(equal) - 1) // 2], slots // 2
+    return max(middle, half) if half in equal else middle, strongest
 
 
 def _evidence(outcomes: list[tuple[timedelta, int, float]], level: int) -> float:
--- a/laburnumhatch/placement/request_timings.py
+++ b/laburnumhatch/placement/request_timings.py
@@ -62,7 +62,7 @@
         """Return the answers since the last call, which are forgotten, and the running requests."""
         answered, self._answered = self._answered, {}
         timings = []
-        for name in answered.keys() | self._running.keys():
+        for name in dict.fromkeys([*answered, *self._running]):
             running = [r for r in self._running.get(name, ()) if now - r[0] <= MAX_RUNNING_AGE]
             if name in self._running:
                 self._running[name] = running
