--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -9,6 +9,7 @@
     "COORDINATION_MESSAGES",
     "AnnouncedLimit",
     "AnsweringUpstream",
+    "ConcurrencyUpdate",
     "ConfigurationContent",
     "ConfigurationRequest",
     "CrashReport",
@@ -40,6 +41,9 @@
     "TermQuestion",
     "Totals",
     "UpstreamStats",
+    "TimingReport",
+    "UpstreamConcurrency",
+    "UpstreamTimes",
     "WarmingUpstream",
     "WarmupReport",
     "WarmupUpdate",
@@ -517,6 +521,47 @@
             raise ValueError("the age of a read is negative")
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamTimes:
+    """Requests of an instance to an upstream; see `pack_times`.
+
+    Attributes
+    ----------
+    upstream : str
+    answered : bytes
+        Requests that were answered since the last report.
+    running : bytes
+        Requests without an answer, by their age.
+    """
+
+    upstream: str
+    answered: bytes
+    running: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TimingReport:
+    """All requests of an instance that run or were answered since its last report."""
+
+    upstreams: tuple[UpstreamTimes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamConcurrency:
+    """What an upstream takes well; see `ConcurrencyEstimate`. Zeros say that nothing is known."""
+
+    upstream: str
+    unloaded: timedelta
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConcurrencyUpdate:
+    """Estimates of the leader that have changed since its last message on the stream."""
+
+    upstreams: tuple[UpstreamConcurrency, ...]
+
+
 FIRST_MESSAGE_TYPE = 400
 COORDINATION_MESSAGES = (
     FIRST_MESSAGE_TYPE,
@@ -540,5 +585,7 @@
         WarmupReport,
         WarmupUpdate,
         EvacuationUpdate,
+        TimingReport,
+        ConcurrencyUpdate,
     ),
 )
--- a/laburnumhatch/gateway/attempt.py
+++ b/laburnumhatch/gateway/attempt.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..fleet import Upstream
-from ..placement.choice import plausible_service_time
+from ..placement.choice import typical_service_time
 from ..platform.headers import MISDIRECTED
 from ..transport import CallerRequest
 from .answers import AttemptOutcome, OutcomeKind
@@ -72,6 +72,9 @@
     has_answered = attempt.status not in (0, MISDIRECTED) and not outcome.is_connection_lost
     if has_answered and attempt.sent_at is not None:
         load_tracker.warmups.note_answered(upstream.name, attempt.sent_at)
+    if attempt.sent_at is not None:
+        answered_at = now if outcome.kind is OutcomeKind.SUCCESS else None
+        load_tracker.timings.note_ended(upstream.name, attempt.sent_at, answered_at)
     if outcome.is_unreachable:
         load_tracker.load_of(upstream.name).record_unreachable(now)
         if outcome.has_no_listener:
@@ -99,7 +102,7 @@
     if not attempt.was_expected_to_wait:
         median_s = gateway.median_service_time_s(attempt.service)
         load = gateway.load_tracker.load_of(name)
-        slowness = plausible_service_time(load.service_time_s, median_s) / median_s
+        slowness = typical_service_time(load, median_s) / median_s
         gateway.work_times.record(attempt.service, attempt.route, answer_time_s / slowness)
     service_time_s = answer_time_s / attempt.relative_time
     gateway.load_tracker.record_answer(
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -58,6 +58,9 @@
     waiting_room : str, optional
         Whether requests wait here for room at an upstream instead of being refused: ``on``,
         ``off``, or ``auto``: while the configuration has a route with large request bodies.
+    adaptive_concurrency : str, optional
+        Whether the speed and the concurrency limit of each upstream are estimated and used:
+        ``on``, ``off``, or ``auto`` for on while a route has large request bodies.
     """
 
     name: str
@@ -81,6 +84,7 @@
     warmup_overage: float | None = None
     warmup_slack: float | None = None
     waiting_room: Literal["auto", "on", "off"] = "auto"
+    adaptive_concurrency: Literal["auto", "on", "off"] = "auto"
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -33,8 +33,9 @@
     "warmup_overage": None,
     "warmup_slack": None,
     "waiting_room": "auto",
+    "adaptive_concurrency": "auto",
 }
-OPTIONAL = ["memory_mb", "warmup_overage", "warmup_slack", "waiting_room"]
+OPTIONAL = ["memory_mb", "warmup_overage", "warmup_slack", "waiting_room", "adaptive_concurrency"]
 
 
 @pytest.fixture
