--- a/laburnumhatch/gateway/tests/test_waiting.py
+++ b/laburnumhatch/gateway/tests/test_waiting.py
@@ -27,7 +27,8 @@
     loads = harness.gateway.load_tracker
     for name in ("u1", "u3", "u4"):
         loads.load_of(name)
-    loads.set_others_in_flight(dict.fromkeys(("u1", "u3", "u4"), count))
+    others = dict.fromkeys(("u1", "u3", "u4"), count)
+    loads.set_others_in_flight(others, harness.clock.now())
 
 
 @pytest.mark.parametrize("path", [b"/safe/x", b"/keyed/x"])
