Leave the leadership to machines with room on their links

Cause: a machine with 15 Mbit/s led 67 instances. Its first messages, the whole list of upstreams and the whole map to each, filled its link for seconds: handshakes and calls to the store timed out, connections to upstreams were not opened in time, so it yielded, and the next one did the same.

Change: the settings give the bandwidth of the machine's link, and a member with under 0.5 Mbit/s for each instance waits 0.6 s longer than the others before it takes over. Without the field nothing changes.

--- a/laburnumhatch/coordination/candidacy.py
+++ b/laburnumhatch/coordination/candidacy.py
@@ -17,7 +17,13 @@
 # each missing core.
 MIN_LEADER_CORES = 0.8
 DELAY_PER_MISSING_CORE = milliseconds(1500)
-# Factor on this delay when there has been no leader yet. Machines start at different speeds, and
+# Bandwidth needed to lead, for each instance: a new leader sends each of them all upstreams and key
+# ranges, some 65 kB, before its other messages. With 15 Mbit/s for 67 instances, that alone fills
+# the link for seconds, and the leader yields because it seems to reach nothing.
+MIN_LEADER_MBPS_PER_INSTANCE = 0.5
+# Delay of an attempt with less bandwidth; longer than the spread of the attempts of the others.
+NARROW_LINK_DELAY = milliseconds(600)
+# Factor on these delays when there has been no leader yet. Machines start at different speeds, and
 # whoever becomes the first leader stays it; nobody is served yet.
 FIRST_ELECTION_DELAY_FACTOR = 4
 # Time per instance over which the members spread their attempts to replace a lost leader, and the
@@ -46,6 +52,8 @@
     timing : LeadershipTiming
     cores : float
         Processing power of the machine, in cores of the usual speed.
+    link_mbps : float
+        Bandwidth of the machine's link, in Mbit/s.
     instance_count : callable
         Returns the likely number of instances.
 
@@ -59,15 +67,17 @@
         leadership: Leadership,
         timing: LeadershipTiming,
         cores: float,
+        link_mbps: float,
         instance_count: Callable[[], int],
     ) -> None:
         self._leadership = leadership
         self._timing = timing
         self._missing_cores = max(0.0, MIN_LEADER_CORES - cores)
+        self._link_mbps = link_mbps
         self._instance_count = instance_count
         self._vacant_since: timedelta | None = None
         self._delay = timedelta()
-        self._retry_interval = self._slow_machine_delay()
+        self._retry_interval = self._weak_machine_delay()
         self.random_source = random.Random()
 
     def may_try_now(
@@ -100,12 +110,12 @@
             self._delay = self._spread() * self.random_source.random()
             if now - store_available_since < RETURN_SPREAD_LIMIT:
                 self._delay = timedelta()
-        has_waited = now - self._vacant_since >= self._slow_machine_delay() + self._delay
+        has_waited = now - self._vacant_since >= self._weak_machine_delay() + self._delay
         if not has_waited or now - last_tried_at < self._retry_interval:
             return False
         # Randomised, because all waiting members may try at the same instant.
         retry_interval = self._timing.takeover_retry_interval * (1 + self.random_source.random())
-        self._retry_interval = retry_interval + self._slow_machine_delay()
+        self._retry_interval = retry_interval + self._weak_machine_delay()
         self._vacant_since = None
         return True
 
@@ -114,7 +124,10 @@
         spread = min(SPREAD_PER_INSTANCE * self._instance_count(), MAX_SPREAD)
         return max(spread - CHECK_SPREAD, timedelta())
 
-    def _slow_machine_delay(self) -> timedelta:
+    def _weak_machine_delay(self) -> timedelta:
         is_first_election = self._leadership.is_row_known and self._leadership.row is None
         factor = FIRST_ELECTION_DELAY_FACTOR if is_first_election else 1
-        return DELAY_PER_MISSING_CORE * self._missing_cores * factor
+        delay = DELAY_PER_MISSING_CORE * self._missing_cores
+        if self._link_mbps < MIN_LEADER_MBPS_PER_INSTANCE * self._instance_count():
+            delay += NARROW_LINK_DELAY
+        return delay * factor
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -138,8 +138,13 @@
         self._leadership = Leadership(
             setup.name, self._timing, self._store_clock, is_first_start=setup.is_first_start
         )
+        self._announced_instance_count: int | None = None
         self._candidacy = Candidacy(
-            self._leadership, self._timing, setup.cores, lambda: self.likely_instance_count
+            self._leadership,
+            self._timing,
+            setup.cores,
+            setup.link_mbps,
+            lambda: self.likely_instance_count,
         )
         self._reader = StoreReader(
             clock,
@@ -185,7 +190,6 @@
         self._is_stopping = self._is_yielding = False
         self._abstains_until = LONG_AGO
         self._passed_on_term = 0
-        self._announced_instance_count: int | None = None
         self._leadership_handlers: list[Callable[[], None]] = []
         self.reaches_service: Callable[[str], bool] = lambda service: True
         self.registry_view = RegistryView()
--- a/laburnumhatch/coordination/member_setup.py
+++ b/laburnumhatch/coordination/member_setup.py
@@ -1,5 +1,6 @@
 """Fixed properties of a running instance as a member of the cluster."""
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["MemberSetup"]
@@ -23,6 +24,8 @@
         Whether all instances start for the first time, so that there was no leader before.
     adaptive_concurrency : str
         Whether estimates of what upstreams take well are used: ``auto``, ``on`` or ``off``.
+    link_mbps : float
+        Bandwidth of its machine's link, in Mbit/s.
     """
 
     name: str
@@ -31,3 +34,4 @@
     cores: float = 1.0
     is_first_start: bool = False
     adaptive_concurrency: str = "auto"
+    link_mbps: float = math.inf
--- a/laburnumhatch/coordination/tests/test_candidacy.py
+++ b/laburnumhatch/coordination/tests/test_candidacy.py
@@ -21,12 +21,12 @@
 def make_candidacy():
     """Return a function that makes a candidacy for a vacant leadership."""
 
-    def make(*, cores=1.0, instance_count=8, has_led=True, seed=1):
+    def make(*, cores=1.0, link_mbps=100.0, instance_count=8, has_led=True, seed=1):
         leadership = Leadership("a/1", TIMING, StoreClock(), is_first_start=True)
         record = LeaderRecord("b/1", "127.0.0.1", 1, 1, has_resigned=True)
         row = StoredRow("leader", encode_leader(record), 1) if has_led else None
         leadership.observe_row(row, START)
-        candidacy = Candidacy(leadership, TIMING, cores, lambda: instance_count)
+        candidacy = Candidacy(leadership, TIMING, cores, link_mbps, lambda: instance_count)
         candidacy.random_source = random.Random(seed)
         return candidacy
 
@@ -56,6 +56,14 @@
     assert first_attempt(make_candidacy(cores=0.4, has_led=has_led)) == milliseconds(wait_ms)
 
 
+def test_narrow_links_leave_the_first_attempt_to_others(make_candidacy):
+    # The first messages of a new leader filled its link for seconds, so that it lost its streams.
+    narrow = [make_candidacy(link_mbps=15.0, instance_count=67, seed=n) for n in range(20)]
+    wide = [make_candidacy(link_mbps=100.0, instance_count=67, seed=n) for n in range(20)]
+    assert max(map(first_attempt, wide)) < min(map(first_attempt, narrow))
+    assert first_attempt(make_candidacy(link_mbps=15.0)) == timedelta()
+
+
 def test_attempts_after_an_outage_are_spread_by_when_it_is_noticed_only(make_candidacy):
     for seed in range(20):
         candidacy, now = make_candidacy(instance_count=200, seed=seed), START
--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -1,5 +1,6 @@
 """Process of one gateway instance."""
 
+import math
 import resource
 import secrets
 import signal
@@ -92,9 +93,10 @@
                 name,
                 settings.host,
                 settings.stream_port,
-                settings.core_speed * settings.core_share,
-                settings.first_start,
-                settings.adaptive_concurrency,
+                cores=settings.core_speed * settings.core_share,
+                link_mbps=math.inf if settings.link_mbps is None else settings.link_mbps,
+                is_first_start=settings.first_start,
+                adaptive_concurrency=settings.adaptive_concurrency,
             ),
             store=self._store,
             sources=platform_sources(self._store),
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -51,6 +51,8 @@
         or has lost it.
     memory_mb : float, optional
         Memory in MiB at which the platform ends the process.
+    link_mbps : float, optional
+        Bandwidth of the machine's link in Mbit/s; not limited without it.
     warmup_overage, warmup_slack : float, optional
         Factor on the requests per second that an upstream tolerates while it warms up, and further
         requests, that together may reach it within a second. Without either, nothing is bounded;
@@ -81,6 +83,7 @@
     stop_within: str
     first_start: bool
     memory_mb: float = DEFAULT_MEMORY_MB
+    link_mbps: float | None = None
     warmup_overage: float | None = None
     warmup_slack: float | None = None
     waiting_room: Literal["auto", "on", "off"] = "auto"
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -30,12 +30,20 @@
     "stop_within": "6s",
     "first_start": False,
     "memory_mb": 300,
+    "link_mbps": None,
     "warmup_overage": None,
     "warmup_slack": None,
     "waiting_room": "auto",
     "adaptive_concurrency": "auto",
 }
-OPTIONAL = ["memory_mb", "warmup_overage", "warmup_slack", "waiting_room", "adaptive_concurrency"]
+OPTIONAL = [
+    "memory_mb",
+    "link_mbps",
+    "warmup_overage",
+    "warmup_slack",
+    "waiting_room",
+    "adaptive_concurrency",
+]
 
 
 @pytest.fixture
