Discard the bodies of requests for the readiness and metrics pages

Their ports had no memory budget, so the bodies of several callers were held in full: 24 bodies of 8 MiB that stopped short of their end took 181 to 270 MB of a machine of 160 MB. The pages don't read bodies, so their parts are now dropped as they arrive; a request within the limits is answered as before.

--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -154,17 +154,16 @@
             self._clock, handle, limits, gateway.memory, gateway.refuse_for_memory, max_requests
         )
 
+    def _page_factory(self, handle: Callable[[CallerRequest], None]) -> CallerFactory:
+        return CallerFactory(self._clock, handle, self._gateway.limits, keeps_bodies=False)
+
     def start(self) -> None:
         """Open the listening ports and start to read the store."""
         settings = self._settings
         self._callers_port = self._listen(parse_address(settings.callers), self._callers)
-        readiness_factory = CallerFactory(
-            self._clock, readiness_page(self._is_ready), self._gateway.limits
-        )
+        readiness_factory = self._page_factory(readiness_page(self._is_ready))
         self._ports.append(self._listen(parse_address(settings.readiness), readiness_factory))
-        metrics_factory = CallerFactory(
-            self._clock, metrics_page(self._gateway, self._store.call_counts), self._gateway.limits
-        )
+        metrics_factory = self._page_factory(metrics_page(self._gateway, self._store.call_counts))
         self._ports.append(self._listen((settings.host, settings.metrics_port), metrics_factory))
         relay_factory = self._caller_factory(
             relay_handler(self._gateway.handle_relayed, lambda: self._stream_key),
--- a/laburnumhatch/transport/caller_connection.py
+++ b/laburnumhatch/transport/caller_connection.py
@@ -18,7 +18,7 @@
 from .memory_budget import BodyHandling, HeldKind
 from .outbound import MAX_EVENTS_PER_TURN
 from .peek import peek
-from .request_body import RequestBody
+from .request_body import DiscardedBody, RequestBody
 from .request_checks import body_length, find_request_error
 from .request_cycle import RequestCycle
 from .request_queue import RequestQueue
@@ -346,6 +346,10 @@
         memory = self.factory.memory
         if cycle.is_first:
             self._set_timer(self.factory.limits().idle_timeout, self._on_request_timeout)
+        if not self.factory.keeps_bodies:
+            if length != 0:
+                request.body = cycle.body = DiscardedBody()
+            return
         handling = memory.choose_handling(length)
         if handling is BodyHandling.REFUSE:
             self.factory.refuse(request)
--- a/laburnumhatch/transport/inbound.py
+++ b/laburnumhatch/transport/inbound.py
@@ -35,6 +35,8 @@
     max_requests : int, optional
         Requests of one connection that are handled at the same time. By default the next one is
         handled once the one before is answered, so a handler need not expect others beside it.
+    keeps_bodies : bool, optional
+        Whether the bodies are kept for `handle`. Otherwise they are discarded as they arrive.
 
     Attributes
     ----------
@@ -54,6 +56,8 @@
         memory: MemoryBudget | None = None,
         refuse: Callable[[CallerRequest], None] = lambda request: None,
         max_requests: int = 1,
+        *,
+        keeps_bodies: bool = True,
     ) -> None:
         self.clock = clock
         self.handle = handle
@@ -61,6 +65,7 @@
         self.memory = memory or MemoryBudget()
         self.refuse = refuse
         self.max_requests = max_requests
+        self.keeps_bodies = keeps_bodies
         self._accepted_count = 0
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
--- a/laburnumhatch/transport/request_body.py
+++ b/laburnumhatch/transport/request_body.py
@@ -5,7 +5,7 @@
 
 from .memory_budget import SMALL_BODY_BYTES, STREAM_WINDOW_BYTES, HeldKind, MemoryBudget
 
-__all__ = ["NO_BODY", "RequestBody"]
+__all__ = ["NO_BODY", "DiscardedBody", "RequestBody"]
 
 # Size up to which received parts are joined: many tiny ones would need more memory than bytes.
 PART_BYTES = 65_536
@@ -159,5 +159,17 @@
             self._budget.add(kind, size)
 
 
+class DiscardedBody(RequestBody):
+    """Body of a request whose handler doesn't read it: nothing of it is held."""
+
+    def __init__(self) -> None:
+        super().__init__(0)
+
+    def append(self, data: bytes | bytearray) -> bool:
+        """Count received bytes."""
+        self.received_bytes += len(data)
+        return True
+
+
 # Body of all requests without one.
 NO_BODY = RequestBody.of(b"")
