Count the fields of headers with very many of them

A header of 16 KiB may have 4,000 fields, whose objects need some hundred times as much; 200 such requests without the end of their bodies took 186 to 248 MB of a machine of 160 MB. Beyond 128 fields, each is now counted in the memory budget, and a request whose fields don't fit is refused as not run. A closed connection drops its requests at once instead of when the garbage collector finds the cycle. The pages' ports use the budget of the process for this; their requests without many fields aren't refused for memory.

--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -155,7 +155,15 @@
         )
 
     def _page_factory(self, handle: Callable[[CallerRequest], None]) -> CallerFactory:
-        return CallerFactory(self._clock, handle, self._gateway.limits, keeps_bodies=False)
+        gateway = self._gateway
+        return CallerFactory(
+            self._clock,
+            handle,
+            gateway.limits,
+            gateway.memory,
+            gateway.refuse_for_memory,
+            keeps_bodies=False,
+        )
 
     def start(self) -> None:
         """Open the listening ports and start to read the store."""
--- a/laburnumhatch/transport/caller_connection.py
+++ b/laburnumhatch/transport/caller_connection.py
@@ -15,7 +15,7 @@
 from ..clocks import Cancellable, Timeout
 from .caller_request import CallerRequest
 from .input_buffer import InputBuffer
-from .memory_budget import BodyHandling, HeldKind
+from .memory_budget import BodyHandling, HeldKind, fields_size
 from .outbound import MAX_EVENTS_PER_TURN
 from .peek import peek
 from .request_body import DiscardedBody, RequestBody
@@ -102,6 +102,7 @@
         self._count_unsent(-self._unsent_bytes)
         self.factory.remove(self)
         self._queue.drop_all()
+        self._queue.first.forget_request()
 
     def dataReceived(self, data: bytes) -> None:
         """Parse bytes of requests."""
@@ -334,13 +335,26 @@
         cycle.is_body_withheld = cycle.http.they_are_waiting_for_100_continue
         error = find_request_error(request, limits)
         length = body_length(request.fields)
+        size = fields_size(len(request.fields))
         if error is not None:
             self._reject(*error)
+        elif size and not self._take_fields(cycle, request, size):
+            return
         elif cycle.is_first or length == 0:
             self._begin_body(cycle, request, length)
         else:
             cycle.is_body_held = True
 
+    def _take_fields(self, cycle: RequestCycle, request: CallerRequest, size: int) -> bool:
+        """Count many header fields, or refuse the request if they don't fit into the memory."""
+        if self.factory.memory.may_take_fields(size):
+            cycle.count_fields(size)
+            return True
+        self.factory.refuse(request)
+        # The connection is open until the rest of the body has been discarded.
+        request.fields = []
+        return False
+
     def _begin_body(self, cycle: RequestCycle, request: CallerRequest, length: int | None) -> None:
         """Decide what happens to the body of a request, and take it on."""
         memory = self.factory.memory
--- a/laburnumhatch/transport/memory_budget.py
+++ b/laburnumhatch/transport/memory_budget.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from enum import Enum, StrEnum
 
-__all__ = ["BodyHandling", "HeldKind", "MemoryBudget", "held_bytes_limit"]
+__all__ = ["BodyHandling", "HeldKind", "MemoryBudget", "fields_size", "held_bytes_limit"]
 
 MEBIBYTE = 1_048_576
 # Memory of a process that holds nothing for others, with what its libraries need under load.
@@ -31,6 +31,11 @@
 # What a request in flight needs with its state, its timers and its connection to an upstream, as
 # measured with 960 of them in flight.
 REQUEST_STATE_BYTES = 40_960
+# Number of header fields that is part of a request's state. Beyond it, each field is counted with
+# the bytes that its objects need in the request and in its copy for the upstream: 4 bytes as sent
+# become some 400.
+UNCOUNTED_FIELDS = 128
+FIELD_BYTES = 400
 
 
 class HeldKind(StrEnum):
@@ -43,6 +48,8 @@
     UNSENT = "unsent answers"
     WAITING_ANSWER = "answers that wait for earlier ones"
     REQUEST_BEHIND = "requests behind unanswered ones"
+    FIELDS = "many header fields"
+    INPUT = "unparsed requests"
 
 
 class BodyHandling(Enum):
@@ -72,6 +79,17 @@
     return int(max(usable, memory_bytes * MIN_SHARE))
 
 
+def fields_size(count: int) -> int:
+    """Return the bytes to count for the fields of a header, zero for an ordinary number of them.
+
+    Examples
+    --------
+    >>> fields_size(40), fields_size(1128)
+    (0, 400000)
+    """
+    return max(0, count - UNCOUNTED_FIELDS) * FIELD_BYTES
+
+
 class MemoryBudget:
     """Bytes that the process holds on behalf of others, and what it takes on besides.
 
@@ -132,6 +150,10 @@
             return BodyHandling.STREAM
         return BodyHandling.REFUSE
 
+    def may_take_fields(self, size: int) -> bool:
+        """Return whether the fields of a header, which need some bytes, may be taken on."""
+        return not size or self._fits(size, LONG_BODIES_SHARE)
+
     def may_grow(self, size: int, growth: int) -> bool:
         """Return whether a kept body, of which `size` bytes are held, may grow."""
         if self.limit is None:
--- a/laburnumhatch/transport/request_cycle.py
+++ b/laburnumhatch/transport/request_cycle.py
@@ -8,6 +8,7 @@
 
 from .caller_request import CallerRequest
 from .fields import HeaderFields
+from .memory_budget import HeldKind
 from .request_body import RequestBody
 
 if TYPE_CHECKING:
@@ -74,6 +75,7 @@
         self._resume_writer: Callable[[], None] | None = None
         self._is_writer_paused = False
         self._on_first: Callable[[], None] | None = None
+        self._fields_bytes = 0
         self.http = http
         self.is_first = is_first
         self.request: CallerRequest | None = None
@@ -209,6 +211,18 @@
             self._connection.count_waiting(len(content))
             self.update_writer()
 
+    def count_fields(self, size: int) -> None:
+        """Count the bytes of the request's header fields until the response is over."""
+        self._connection.factory.memory.add(HeldKind.FIELDS, size - self._fields_bytes)
+        self._fields_bytes = size
+
+    def forget_request(self) -> None:
+        """Drop the request, whose connection is closed, and its references to this cycle.
+
+        Its many fields would otherwise stay in memory until the garbage collector finds the cycle.
+        """
+        self.request = None
+
     def release_body(self) -> None:
         """Drop the body of the request."""
         body, self.body = self.body, None
@@ -236,4 +250,6 @@
     def _finish(self) -> None:
         self.is_over = True
         self._pause_writer = self._resume_writer = self._on_first = None
+        if self._fields_bytes:
+            self.count_fields(0)
         self.release_body()
--- a/laburnumhatch/transport/request_queue.py
+++ b/laburnumhatch/transport/request_queue.py
@@ -85,6 +85,7 @@
         self._count_behind()
         for follower in reversed(dropped):
             follower.drop()
+            follower.forget_request()
 
     def drop_all(self) -> None:
         """Drop all requests."""
--- a/laburnumhatch/transport/tests/test_long_bodies.py
+++ b/laburnumhatch/transport/tests/test_long_bodies.py
@@ -300,3 +300,32 @@
         assert not server.transport.is_aborted
         clock.advance(CallerLimits().idle_timeout + milliseconds(10))
     assert server.transport.is_aborted
+
+
+MANY_FIELDS = b"a:\r\n" * 2000
+
+
+def test_many_fields_are_counted_until_the_answer(server):
+    server.receive(head(0, MANY_FIELDS))
+    assert server.memory.held[HeldKind.FIELDS]
+    server.requests[0].respond(200, [], b"")
+    assert not server.memory.total
+
+
+def test_many_fields_that_do_not_fit_are_refused_and_dropped(full_server):
+    # Guards against headers of legal size whose fields need a hundred times as many bytes.
+    full_server.receive(head(2, MANY_FIELDS))
+    (refused,) = full_server.refused
+    assert not full_server.requests and not refused.fields
+    full_server.lose()
+    assert full_server.memory.total == LIMIT
+
+
+def test_bodies_are_discarded_where_they_are_not_read(server):
+    # Guards against bodies that are held for a handler without a use for them.
+    server.factory.keeps_bodies = False
+    server.receive(head(5) + b"abc")
+    assert not server.requests and not server.memory.total
+    server.receive(b"de")
+    (request,) = server.requests
+    assert bytes(request.body) == b""
