--- a/laburnumhatch/transport/connection_limit.py
+++ b/laburnumhatch/transport/connection_limit.py
@@ -24,7 +24,8 @@
 # each new one would take the event loop's time.
 MAX_CANDIDATES = 32
 # Fraction of the callers' connections. After none could be closed, this many times no further one
-# is looked for: with 1,300 connections, a look for each request occupies the event loop for seconds.
+# is looked for. With 1,300 connections, a look for each request would occupy the event loop for
+# seconds.
 SKIPPED_FRACTION = 8
 # Memory of a caller's connection without a request: its objects, its timer and its parser.
 CONNECTION_BYTES = 24_576
