--- a/laburnumhatch/gateway/daemon.py
+++ b/laburnumhatch/gateway/daemon.py
@@ -4,6 +4,7 @@
 import resource
 import secrets
 import signal
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -35,9 +36,11 @@
     MAX_REQUESTS_AHEAD,
     CallerFactory,
     CallerRequest,
+    ConnectionLimit,
     ConnectionPool,
     HttpCaller,
     MemoryBudget,
+    connection_limit,
     held_bytes_limit,
 )
 from ..transport.memory_budget import MEBIBYTE
@@ -74,7 +77,7 @@
         self._lifecycle = build_lifecycle(
             LifecycleActions(self._become_unready, self._close_port, self._hand_over, exit)
         )
-        pool = ConnectionPool(reactor, clock)
+        pool, order_pool = ConnectionPool(reactor, clock), ConnectionPool(reactor, clock)
         caller = HttpCaller(pool, clock)
         store_host, store_port = parse_address(settings.store)
         self._store = PlatformStore(caller, clock, store_host, store_port)
@@ -104,7 +107,7 @@
             # An upstream with a long queue resets new connections, so the lease orders use a
             # connection pool of their own.
             sender=PlatformOrderSender(
-                HttpCaller(ConnectionPool(reactor, clock), clock),
+                HttpCaller(order_pool, clock),
                 lambda incarnation: self._member.announcements.note_leaving(incarnation),
                 lambda incarnation, fields: apply_health_answer(self._gateway, incarnation, fields),
             ),
@@ -127,6 +130,7 @@
             lambda: self._member.is_leader,
         )
         self._member.add_leadership_handler(crash_reports.announce)
+        held_bytes = held_bytes_limit(_memory_bytes(settings))
         self._gateway = Gateway(
             clock=clock,
             data_centre=settings.data_centre,
@@ -139,8 +143,12 @@
             crash_guard=CrashGuard(crash_reports),
             relays=self._relays,
             shared_key=lambda: self._stream_key,
-            memory=MemoryBudget(held_bytes_limit(_memory_bytes(settings))),
+            memory=MemoryBudget(held_bytes),
             waiting_room=settings.waiting_room,
+            connection_limit=ConnectionLimit(
+                connection_limit(_descriptor_limit(), held_bytes),
+                lambda: pool.connection_count + order_pool.connection_count,
+            ),
         )
         self._pool = pool
         self._callers = self._caller_factory(
@@ -155,20 +163,34 @@
     ) -> CallerFactory:
         gateway = self._gateway
         return CallerFactory(
-            self._clock, handle, limits, gateway.memory, gateway.refuse_for_memory, max_requests
+            self._clock,
+            handle,
+            limits,
+            gateway.memory,
+            gateway.refuse_for_memory,
+            max_requests,
+            connection_limit=gateway.connection_limit,
+        )
+
+    def _page_factory(self, handle: Callable[[CallerRequest], None]) -> CallerFactory:
+        gateway = self._gateway
+        return CallerFactory(
+            self._clock,
+            handle,
+            gateway.limits,
+            gateway.memory,
+            gateway.refuse_for_memory,
+            connection_limit=gateway.connection_limit,
+            keeps_bodies=False,
         )
 
     def start(self) -> None:
         """Open the listening ports and start to read the store."""
         settings = self._settings
         self._callers_port = self._listen(parse_address(settings.callers), self._callers)
-        readiness_factory = CallerFactory(
-            self._clock, readiness_page(self._is_ready), self._gateway.limits
-        )
+        readiness_factory = self._page_factory(readiness_page(self._is_ready))
         self._ports.append(self._listen(parse_address(settings.readiness), readiness_factory))
-        metrics_factory = CallerFactory(
-            self._clock, metrics_page(self._gateway, self._store.call_counts), self._gateway.limits
-        )
+        metrics_factory = self._page_factory(metrics_page(self._gateway, self._store.call_counts))
         self._ports.append(self._listen((settings.host, settings.metrics_port), metrics_factory))
         relay_factory = self._caller_factory(
             relay_handler(self._gateway.handle_relayed, lambda: self._stream_key),
@@ -276,6 +298,12 @@
     return memory_bytes if own_limit == resource.RLIM_INFINITY else min(memory_bytes, own_limit)
 
 
+def _descriptor_limit() -> int:
+    """Return how many descriptors the process may have open."""
+    own_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if own_limit == resource.RLIM_INFINITY else own_limit
+
+
 def run(settings_file: str) -> int:
     """Run the gateway until a signal stops it.
 
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -16,7 +16,7 @@
 from ..platform.headers import find_header
 from ..results import Refusal, ResultCode
 from ..telemetry.loop_lag import LoopLagMonitor
-from ..transport import CallerRequest, ConnectionPool, MemoryBudget
+from ..transport import CallerRequest, ConnectionLimit, ConnectionPool, MemoryBudget
 from ..transport.memory_budget import SMALL_BODY_BYTES
 from ..transport.pool import MAX_IDLE_TIME
 from .admission import Admission, AdmissionSources
@@ -71,6 +71,8 @@
         Bounds the bytes that are held for others.
     waiting_room : str, optional
         Whether requests wait for room at an upstream; see `Admission`.
+    connection_limit : ConnectionLimit, optional
+        Bounds the open connections.
 
     Attributes
     ----------
@@ -92,6 +94,7 @@
         shared_key: Callable[[], str],
         memory: MemoryBudget | None = None,
         waiting_room: str = "auto",
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self._started_at = clock.now()
         self._retry_policy = retry_policy
@@ -114,6 +117,7 @@
         self.relays = relays
         self.shared_key = shared_key
         self.memory = memory or MemoryBudget()
+        self.connection_limit = connection_limit or ConnectionLimit()
         self.service_splitter = TrafficSplitter()
         self.work_times = WorkTimes()
         self.key_limiter = KeyLimiter()
@@ -185,12 +189,13 @@
         self._handle(Exchange(self, request, is_relayed=True))
 
     def refuse_for_memory(self, request: CallerRequest) -> None:
-        """Refuse a request whose body isn't received, because it doesn't fit into the memory."""
+        """Refuse a request that doesn't fit into the memory, or for which no connection is left."""
         declared = int(find_header(request.fields, b"content-length") or 0)
         is_long = max(declared, request.body.received_bytes) > SMALL_BODY_BYTES
         self.metrics.memory_refusals["long" if is_long else "short"] += 1
         retry_after = MEMORY_RETRY_AFTER * (0.75 + 0.5 * self.random.random())
-        detail = f"{self.memory.total} bytes are held"
+        open_count = self.connection_limit.open_count
+        detail = f"{self.memory.total} bytes are held, {open_count} connections are open"
         refusal = Refusal(ResultCode.MEMORY_FULL, detail, retry_after=retry_after)
         self.request_log.log_refusal(request, LoggedTarget("", "", None), refusal)
         refuse(request, refusal)
--- a/laburnumhatch/transport/memory_budget.py
+++ b/laburnumhatch/transport/memory_budget.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from enum import Enum, StrEnum
 
-__all__ = ["BodyHandling", "HeldKind", "MemoryBudget", "held_bytes_limit"]
+__all__ = ["BodyHandling", "HeldKind", "MemoryBudget", "fields_size", "held_bytes_limit"]
 
 MEBIBYTE = 1_048_576
 # Memory of a process that holds nothing for others, with what its libraries need under load.
@@ -28,9 +28,18 @@
 # Share of the budget that requests behind unanswered ones of their connections may use with their
 # answers. It is a part of what long bodies leave, and small requests need the rest.
 PIPELINED_SHARE = 0.2
+# Share of the budget above which callers with much unparsed input are closed. Reading pauses at
+# `PIPELINED_SHARE`, but each of very many connections may be read once more. Headers that aren't
+# complete may use half of the budget, which the number of connections bounds.
+MAX_INPUT_SHARE = 0.5
 # What a request in flight needs with its state, its timers and its connection to an upstream, as
 # measured with 960 of them in flight.
 REQUEST_STATE_BYTES = 40_960
+# Number of header fields that is part of a request's state. Beyond it, each field is counted with
+# the bytes that its objects need in the request and in its copy for the upstream: 4 bytes as sent
+# become some 400.
+UNCOUNTED_FIELDS = 128
+FIELD_BYTES = 400
 
 
 class HeldKind(StrEnum):
@@ -43,6 +52,8 @@
     UNSENT = "unsent answers"
     WAITING_ANSWER = "answers that wait for earlier ones"
     REQUEST_BEHIND = "requests behind unanswered ones"
+    FIELDS = "many header fields"
+    INPUT = "unparsed requests"
 
 
 class BodyHandling(Enum):
@@ -72,6 +83,17 @@
     return int(max(usable, memory_bytes * MIN_SHARE))
 
 
+def fields_size(count: int) -> int:
+    """Return the bytes to count for the fields of a header, zero for an ordinary number of them.
+
+    Examples
+    --------
+    >>> fields_size(40), fields_size(1128)
+    (0, 400000)
+    """
+    return max(0, count - UNCOUNTED_FIELDS) * FIELD_BYTES
+
+
 class MemoryBudget:
     """Bytes that the process holds on behalf of others, and what it takes on besides.
 
@@ -112,6 +134,20 @@
         pipelined = self.held[HeldKind.WAITING_ANSWER] + self.held[HeldKind.REQUEST_BEHIND]
         return not self.is_exhausted and pipelined < self.limit * PIPELINED_SHARE
 
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether callers are read beyond the request that they wait for."""
+        if self.limit is None:
+            return True
+        return not self.is_exhausted and self.held[HeldKind.INPUT] < self.limit * PIPELINED_SHARE
+
+    @property
+    def has_too_much_input(self) -> bool:
+        """Whether callers who send beyond the request that they wait for are closed."""
+        if self.limit is None:
+            return False
+        return self.held[HeldKind.INPUT] > self.limit * MAX_INPUT_SHARE
+
     def choose_handling(self, length: int | None) -> BodyHandling:
         """Decide what happens to the body of a request.
 
@@ -132,6 +168,10 @@
             return BodyHandling.STREAM
         return BodyHandling.REFUSE
 
+    def may_take_fields(self, size: int) -> bool:
+        """Return whether the fields of a header, which need some bytes, may be taken on."""
+        return not size or self._fits(size, LONG_BODIES_SHARE)
+
     def may_grow(self, size: int, growth: int) -> bool:
         """Return whether a kept body, of which `size` bytes are held, may grow."""
         if self.limit is None:
