Judge connections that time out by whether the upstream answers others

Cause: an upstream to which one instance couldn't open a connection in time counted as restarted for all.

Change: an instance only reports such an upstream, and the leader lets it count as unreachable if it knows of no answer of it to any instance within the last second. A refused connection counts at once, as before.

--- a/laburnumhatch/coordination/announcements.py
+++ b/laburnumhatch/coordination/announcements.py
@@ -37,6 +37,8 @@
     limits : RequestLimits
     warmups : Warmups
     registry_view : RegistryView
+    answered_at : callable
+        Returns when an upstream last answered any instance, as known to the leader.
     likely_instance_count : callable
         Returns the number of instances.
     leader_name : callable
@@ -57,6 +59,7 @@
         limits: RequestLimits,
         warmups: Warmups,
         registry_view: RegistryView,
+        answered_at: Callable[[str], timedelta],
         likely_instance_count: Callable[[], int],
         leader_name: Callable[[], str],
         is_leader: Callable[[], bool],
@@ -74,7 +77,10 @@
         self._warmups = warmups
         self._likely_instance_count = likely_instance_count
         self._warmup_sharing = WarmupSharing(
-            warmups, lambda: is_leader() and has_authority(), likely_instance_count
+            warmups,
+            lambda: is_leader() and has_authority(),
+            likely_instance_count,
+            answered_at,
         )
         warmups.on_assumed = self._on_warmup_assumed
         self._permits = Permits(clock, links, self, leader_name, is_leader)
@@ -187,6 +193,7 @@
     def _on_warmup_assumed(self) -> None:
         """Tell the others at once: an upstream that was unreachable may be back in a moment."""
         if self._is_leader():
+            self._warmup_sharing.judge_own_silence(self._clock.now())
             self._update_warmups(self._links.connected_peers())
         else:
             self._report_warmups()
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -203,6 +203,7 @@
             limits=load_tracker.limits,
             warmups=load_tracker.warmups,
             registry_view=self.registry_view,
+            answered_at=lambda name: load_tracker.load_of(name).answered_at,
             likely_instance_count=lambda: self.likely_instance_count,
             leader_name=lambda: self.leader_name,
             is_leader=lambda: self.is_leader,
--- a/laburnumhatch/coordination/messages.py
+++ b/laburnumhatch/coordination/messages.py
@@ -489,10 +489,19 @@
 
 @dataclass(frozen=True, slots=True)
 class WarmupReport:
-    """What an instance has found of upstreams that warm up since its last report."""
+    """What an instance has found of upstreams that warm up since its last report.
+
+    Attributes
+    ----------
+    found : tuple of WarmingUpstream
+    answering : tuple of AnsweringUpstream
+    silent : tuple of str
+        Upstreams to which a connection wasn't opened in time.
+    """
 
     found: tuple[WarmingUpstream, ...]
     answering: tuple[AnsweringUpstream, ...]
+    silent: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/coordination/tests/test_warmup_pace.py
+++ b/laburnumhatch/coordination/tests/test_warmup_pace.py
@@ -56,6 +56,7 @@
         self.warmups.configure([SERVICE])
         self.view = RegistryView()
         self.announcements = Announcements(
+            answered_at=lambda name: timedelta(),
             clock=model.clock,
             links=self.links,
             limits=RequestLimits(),
--- a/laburnumhatch/coordination/warmup_sharing.py
+++ b/laburnumhatch/coordination/warmup_sharing.py
@@ -30,6 +30,8 @@
         Returns whether this instance leads and no other one can do so now.
     instance_count : callable
         Returns the number of instances.
+    answered_at : callable
+        Returns when an upstream last answered any instance, as known to the leader.
     """
 
     def __init__(
@@ -37,8 +39,10 @@
         warmups: Warmups,
         may_grant: Callable[[], bool],
         instance_count: Callable[[], int],
+        answered_at: Callable[[str], timedelta],
     ) -> None:
         self._warmups = warmups
+        self._answered_at = answered_at
         self._may_grant = may_grant
         self._instance_count = instance_count
         self._empty_updates = 0
@@ -48,7 +52,8 @@
     def next_report(self, now: timedelta) -> WarmupReport | None:
         """Return this instance's report to the leader, or None if there is nothing to report."""
         found, answered = self._warmups.collect_unreported(), self._warmups.collect_answered()
-        if not found and not answered:
+        silent = self._warmups.collect_silent()
+        if not found and not answered and not silent:
             return None
         return WarmupReport(
             _to_messages(found, now),
@@ -56,6 +61,7 @@
                 AnsweringUpstream(name, max(now - sent_at, ZERO))
                 for name, sent_at in answered.items()
             ),
+            tuple(silent),
         )
 
     def apply_report(self, report: WarmupReport, now: timedelta) -> bool:
@@ -65,6 +71,7 @@
             self._warmups.apply_finding(found.upstream, _from_message(found, now), now)
         for answering in report.answering:
             self._warmups.apply_answer(answering.upstream, now - answering.age)
+        self._warmups.apply_silence(report.silent, self._answered_at, now)
         return not known.issuperset(self._warmups.names)
 
     def next_update(self, now: timedelta) -> WarmupUpdate | None:
@@ -77,6 +84,10 @@
         """Return the leader's update for an instance that has just connected."""
         return WarmupUpdate(_to_messages(self._warmups.all_reported(now), now))
 
+    def judge_own_silence(self, now: timedelta) -> None:
+        """Apply, at the leader, that its own connections weren't opened in time."""
+        self._warmups.apply_silence(self._warmups.collect_silent(), self._answered_at, now)
+
     def apply_update(self, update: WarmupUpdate, now: timedelta) -> None:
         """Apply the leader's update."""
         listed = {listed.upstream: _from_message(listed, now) for listed in update.upstreams}
--- a/laburnumhatch/gateway/answers.py
+++ b/laburnumhatch/gateway/answers.py
@@ -39,15 +39,18 @@
         Explanation for the logs and for the detail of a refusal.
     is_connection_lost : bool
         Whether the connection ended after the request was sent.
-    has_no_listener : bool
-        Whether no connection could be opened. An upstream that is full also resets connections.
+    is_refused : bool
+        Whether the connection was refused, so that nobody listens at the upstream's address.
+    is_silent : bool
+        Whether the connection was not opened in time.
     """
 
     kind: OutcomeKind
     is_unreachable: bool = False
     reason: str = ""
     is_connection_lost: bool = False
-    has_no_listener: bool = False
+    is_refused: bool = False
+    is_silent: bool = False
 
 
 # Statuses that guarantee that the request has not run.
@@ -78,9 +81,10 @@
 
 def classify_failure(failure: CallFailure) -> AttemptOutcome:
     """Return the outcome of an attempt without a complete answer."""
-    has_no_listener = failure.kind in (FailureKind.REFUSED, FailureKind.UNREACHABLE)
-    is_unreachable = has_no_listener or failure.kind is FailureKind.RESET
+    is_refused = failure.kind is FailureKind.REFUSED
+    is_silent = failure.kind is FailureKind.UNREACHABLE
+    is_unreachable = is_refused or is_silent or failure.kind is FailureKind.RESET
     kind = OutcomeKind.NOT_RUN if failure.was_not_sent else OutcomeKind.UNKNOWN
     reason = f"{failure.kind.value}: {failure.reason}"
     is_lost = failure.kind is FailureKind.LOST
-    return AttemptOutcome(kind, is_unreachable, reason, is_lost, has_no_listener)
+    return AttemptOutcome(kind, is_unreachable, reason, is_lost, is_refused, is_silent)
--- a/laburnumhatch/gateway/attempt.py
+++ b/laburnumhatch/gateway/attempt.py
@@ -77,9 +77,11 @@
         load_tracker.timings.note_ended(upstream.name, attempt.sent_at, answered_at)
     if outcome.is_unreachable:
         load_tracker.load_of(upstream.name).record_unreachable(now)
-        if outcome.has_no_listener:
-            # The upstream may have ended and be back soon, cold.
+        # The upstream may have ended and be back soon, cold.
+        if outcome.is_refused:
             load_tracker.warmups.note_unreachable(upstream.incarnation, upstream.service, now)
+        elif outcome.is_silent:
+            load_tracker.warmups.note_silent(upstream.name)
         gateway.pool.close_idle((upstream.host, upstream.port))
     elif outcome.kind is OutcomeKind.NOT_RUN and attempt.status == MISDIRECTED:
         if attempt.key is None:
--- a/laburnumhatch/placement/tests/test_warmups.py
+++ b/laburnumhatch/placement/tests/test_warmups.py
@@ -196,3 +196,14 @@
     capacities = serving_capacities([U1, U2], tracker, at(110))
     assert capacities[U1.incarnation] == pytest.approx(RATE_PER_S)
     assert capacities[U2.incarnation] > 20
+
+
+@pytest.mark.parametrize(("silence_s", "is_warming"), [(0.5, False), (1.5, True)])
+def test_timeouts_of_connections_count_only_if_nobody_gets_answers(warmups, silence_s, is_warming):
+    # Connections also time out at an instance whose own link is full.
+    now = at(100)
+    warmups.note_silent("u1")
+    assert not warmups.names
+    answered_at = at(100 - silence_s)
+    warmups.apply_silence(warmups.collect_silent(), lambda name: answered_at, now)
+    assert warmups.is_warming("u1", now) is is_warming
--- a/laburnumhatch/placement/warmups.py
+++ b/laburnumhatch/placement/warmups.py
@@ -22,6 +22,10 @@
 # Time for which a warm-up is counted on beyond the rest that was read, so that it doesn't end
 # before the upstream's next report says so.
 END_MARGIN = milliseconds(1000)
+# Age of the last answer to any instance above which an upstream to which a connection isn't opened
+# in time may have ended. Such an upstream with requests answers several times a second, and
+# connections also time out at an instance whose own link is full.
+SILENCE_LIMIT = milliseconds(1000)
 # Difference of the delays with which the reports of two instances reach the leader, within which it
 # can't tell which of two events came first.
 MAX_DELAY_VARIATION = milliseconds(200)
@@ -96,6 +100,8 @@
     _services: dict[str, ServiceProperties] = field(default_factory=dict)
     _warming: dict[str, _WarmingUpstream] = field(default_factory=dict)
     _unreported: set[str] = field(default_factory=set)
+    # Upstreams to which a connection of this instance wasn't opened in time.
+    _silent: set[str] = field(default_factory=set)
     # When the last answered request was sent, by upstream that awaits an answer.
     _answered: dict[str, timedelta] = field(default_factory=dict)
     # Unreachable upstreams, until they answer a request of this instance.
@@ -211,6 +217,33 @@
         self._unreported.add(name)
         self.on_assumed()
 
+    def note_silent(self, name: str) -> None:
+        """Record that a connection to an upstream wasn't opened in time, for the leader to judge.
+
+        The link of this instance may be full, or the upstream may have ended without a word.
+        """
+        if self.is_in_use and name not in self._silent and name not in self._warming:
+            self._silent.add(name)
+            self.on_assumed()
+
+    def apply_silence(
+        self, names: Iterable[str], answered_at: Callable[[str], timedelta], now: timedelta
+    ) -> None:
+        """Let upstreams that don't open connections count as unreachable, at the leader.
+
+        Parameters
+        ----------
+        names : iterable of str
+        answered_at : callable
+            Returns when an upstream last answered any instance, given its name.
+        now : timedelta
+        """
+        for name in names:
+            incarnation, service = self._incarnations.get(name), self._registered.get(name)
+            is_silent = now - answered_at(name) > SILENCE_LIMIT
+            if incarnation is not None and service is not None and is_silent:
+                self.note_unreachable(incarnation, service, now)
+
     def note_answered(self, name: str, sent_at: timedelta) -> None:
         """Record an answer of an upstream to a request that was sent at an instant."""
         self._unreachable.pop(name, None)
@@ -250,6 +283,11 @@
         names, self._unreported = self._unreported, set()
         return {n: self._warming[n].reported for n in sorted(names) if n in self._warming}
 
+    def collect_silent(self) -> list[str]:
+        """Return the upstreams to which connections have timed out since the last call."""
+        names, self._silent = self._silent, set()
+        return sorted(names)
+
     def collect_answered(self) -> dict[str, timedelta]:
         """Return when requests answered since the last call were sent, by awaited upstream."""
         answered, self._answered = self._answered, {}
