--- a/laburnumhatch/coordination/concurrency_sharing.py
+++ b/laburnumhatch/coordination/concurrency_sharing.py
@@ -8,14 +8,14 @@
 import logbook
 
 from ..clocks import Clock, milliseconds
-from ..fleet import RouteTable, Upstream
+from ..fleet import Upstream
 from ..links import ManagedLinks
 from ..placement import LoadTracker
 from ..placement.concurrency import ConcurrencyEstimate, ConcurrencyEstimator, TimedRequest
 from ..placement.request_timings import UpstreamTimings
 from .messages import ConcurrencyUpdate, TimingReport, UpstreamConcurrency, UpstreamTimes
 
-__all__ = ["ConcurrencySharing", "is_adaptive", "pack_times", "unpack_times"]
+__all__ = ["ConcurrencySharing", "pack_times", "unpack_times"]
 
 # Age of the request's end and its duration in milliseconds, and its work ratio in thousandths.
 _ENTRY = struct.Struct("<HHH")
@@ -33,13 +33,6 @@
 _log = logbook.Logger("laburnumhatch.member")
 
 
-def is_adaptive(mode: str, routes: RouteTable | None) -> bool:
-    """Return whether a setting of ``auto``, ``on`` or ``off`` is on under a configuration."""
-    if mode == "auto":
-        return routes is not None and any(route.has_large_bodies for route in routes.routes)
-    return mode == "on"
-
-
 def pack_times(requests: Iterable[TimedRequest], now: timedelta) -> bytes:
     """Return requests encoded by their age at the sending of the report."""
     packed = bytearray()
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -8,14 +8,21 @@
 from twisted.internet.defer import Deferred
 
 from ..clocks import Clock, milliseconds
-from ..fleet import RegistryView, RouteTable, ServiceProperties, Upstream, UpstreamIncarnation
+from ..fleet import (
+    RegistryView,
+    RouteTable,
+    ServiceProperties,
+    Upstream,
+    UpstreamIncarnation,
+    is_feature_on,
+)
 from ..keyspace import KeyLimits, LeaseTiming, OwnershipMap
 from ..links import ManagedLinks, PeerAddress
 from ..placement.loads import LoadTracker
 from .announcements import Announcements
 from .broadcast import Broadcaster
 from .candidacy import Candidacy
-from .concurrency_sharing import ConcurrencySharing, is_adaptive
+from .concurrency_sharing import ConcurrencySharing
 from .evacuations import Evacuations
 from .leader import Leader, OrderSender
 from .leadership import LeaderRecord, Leadership, LeadershipTiming, encode_leader
@@ -353,7 +360,7 @@
         self._clock.call_later(TICK_INTERVAL, self._tick)
         now = self._clock.now()
         is_leader = self._leader is not None
-        self._concurrency.set_enabled(is_adaptive(self._setup.adaptive_concurrency, self.routes))
+        self._concurrency.set_enabled(is_feature_on(self._setup.adaptive_concurrency, self.routes))
         self._start_due_reads(now)
         self._configuration.use_pending_if_due()
         if not is_leader:
--- a/laburnumhatch/coordination/member_setup.py
+++ b/laburnumhatch/coordination/member_setup.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from ..fleet import FeatureMode
+
 __all__ = ["MemberSetup"]
 
 
@@ -33,5 +35,5 @@
     port: int
     cores: float = 1.0
     is_first_start: bool = False
-    adaptive_concurrency: str = "auto"
+    adaptive_concurrency: FeatureMode = "off"
     link_mbps: float = math.inf
--- a/laburnumhatch/coordination/tests/test_concurrency_sharing.py
+++ b/laburnumhatch/coordination/tests/test_concurrency_sharing.py
@@ -6,9 +6,9 @@
 import pytest
 
 from ...clocks import milliseconds
-from ...fleet import UpstreamIncarnation
+from ...fleet import UpstreamIncarnation, is_feature_on
 from ...placement.concurrency import TimedRequest
-from ..concurrency_sharing import is_adaptive, pack_times, unpack_times
+from ..concurrency_sharing import pack_times, unpack_times
 from ..messages import ConcurrencyUpdate, TimingReport, UpstreamTimes
 from .cluster import Cluster
 
@@ -138,7 +138,7 @@
 
 
 def test_auto_is_off_without_a_configuration():
-    assert not is_adaptive("auto", None) and is_adaptive("on", None)
+    assert not is_feature_on("auto", None) and is_feature_on("on", None)
 
 
 def test_estimates_are_dropped_under_a_leader_that_knows_none(cluster):
--- a/laburnumhatch/fleet/__init__.py
+++ b/laburnumhatch/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Routes of the active configuration, and the upstreams that serve them."""
 
 from .evacuation import spared_services
+from .feature_mode import FeatureMode, is_feature_on
 from .knowledge import RegistryView
 from .routes import (
     CallerLimits,
@@ -17,6 +18,7 @@
 __all__ = [
     "CallerLimits",
     "DeliverySemantics",
+    "FeatureMode",
     "RegistryView",
     "Route",
     "RouteTable",
@@ -26,5 +28,6 @@
     "UpstreamIncarnation",
     "WeightedService",
     "find_route",
+    "is_feature_on",
     "spared_services",
 ]
--- a/laburnumhatch/gateway/admission.py
+++ b/laburnumhatch/gateway/admission.py
@@ -6,7 +6,14 @@
 from datetime import timedelta
 
 from ..clocks import Clock, milliseconds
-from ..fleet import Route, RouteTable, Upstream, UpstreamIncarnation
+from ..fleet import (
+    FeatureMode,
+    Route,
+    RouteTable,
+    Upstream,
+    UpstreamIncarnation,
+    is_feature_on,
+)
 from ..placement import (
     Declined,
     Demand,
@@ -118,7 +125,7 @@
     load_tracker : LoadTracker
     metrics : GatewayMetrics
     sources : AdmissionSources
-    mode : str
+    mode : FeatureMode
         Whether requests may wait: ``on``, ``off``, or ``auto``: while a route has large bodies.
     """
 
@@ -129,14 +136,14 @@
         load_tracker: LoadTracker,
         metrics: GatewayMetrics,
         sources: AdmissionSources,
-        mode: str,
+        mode: FeatureMode,
     ) -> None:
         self._clock = clock
         self._data_centre = data_centre
         self._load_tracker = load_tracker
         self._sources = sources
         self._mode = mode
-        self._waits = mode == "on"
+        self._waits = is_feature_on(mode, None)
         self._deadlines = LongestDeadlines()
         self._limits = RankLimits()
         self._room = WaitingRoom(clock, self._limits, metrics.record_wait, sources.rng)
@@ -148,8 +155,7 @@
 
     def configure(self, routes: RouteTable) -> None:
         """Apply a version of the configuration."""
-        if self._mode == "auto":
-            self._waits = any(route.has_large_bodies for route in routes.routes)
+        self._waits = is_feature_on(self._mode, routes)
         self._deadlines.retain({route.name for route in routes.routes})
         self._limits.retain(set(routes.services))
 
--- a/laburnumhatch/gateway/gateway.py
+++ b/laburnumhatch/gateway/gateway.py
@@ -10,7 +10,7 @@
 from ..clocks import Clock, milliseconds
 from ..coordination.member import Member
 from ..coordination.relay_directory import RelayDirectory
-from ..fleet import CallerLimits, Route, TrafficSplitter, Upstream
+from ..fleet import CallerLimits, FeatureMode, Route, TrafficSplitter, Upstream
 from ..placement import Demand, KeyLimiter, LoadTracker, RetryBudget, WorkTimes, reserved_upstreams
 from ..placement.choice import median_service_time
 from ..platform.headers import find_header
@@ -93,7 +93,7 @@
         relays: RelayDirectory,
         shared_key: Callable[[], str],
         memory: MemoryBudget | None = None,
-        waiting_room: str = "auto",
+        waiting_room: FeatureMode = "off",
         connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self._started_at = clock.now()
--- a/laburnumhatch/gateway/settings.py
+++ b/laburnumhatch/gateway/settings.py
@@ -3,11 +3,11 @@
 import os
 import re
 from pathlib import Path
-from typing import Literal
 
 import msgspec
 
 from ..clocks.duration_text import parse_duration
+from ..fleet import FeatureMode
 
 __all__ = ["GatewaySettings", "SettingsError", "parse_address", "read_settings", "strip_comments"]
 
@@ -86,8 +86,8 @@
     link_mbps: float | None = None
     warmup_overage: float | None = None
     warmup_slack: float | None = None
-    waiting_room: Literal["auto", "on", "off"] = "auto"
-    adaptive_concurrency: Literal["auto", "on", "off"] = "auto"
+    waiting_room: FeatureMode = "off"
+    adaptive_concurrency: FeatureMode = "off"
 
 
 _COMMENT = re.compile(r'("(?:[^"\\]|\\.)*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
--- a/laburnumhatch/gateway/tests/conftest.py
+++ b/laburnumhatch/gateway/tests/conftest.py
@@ -294,6 +294,7 @@
             crash_guard=make_crash_guard(clock, self.member),
             relays=make_relays(clock, self.member),
             shared_key=lambda: "key",
+            waiting_room="auto",
         )
         # A process that has just started uses no slack of the retry budget.
         clock.advance(RETRY_WINDOW * 1.1)
--- a/laburnumhatch/gateway/tests/test_settings.py
+++ b/laburnumhatch/gateway/tests/test_settings.py
@@ -33,8 +33,8 @@
     "link_mbps": None,
     "warmup_overage": None,
     "warmup_slack": None,
-    "waiting_room": "auto",
-    "adaptive_concurrency": "auto",
+    "waiting_room": "off",
+    "adaptive_concurrency": "off",
 }
 OPTIONAL = [
     "memory_mb",
