--- a/review/lib-2/target.py
+++ b/review/lib-2/target.py
@@ -64,11 +64,15 @@
         self.is_draining = True
         self.register()
 
-    def end(self):
-        """End, and remove the entry."""
+    def crash(self):
+        """End at once; the entry stays until it lapses."""
         self.is_up = False
         self._task.cancel()
         self._server.stop()
+
+    def end(self):
+        """End, and remove the entry."""
+        self.crash()
         self.store.remove("servers", self.name)
 
     def holds(self, key, now):
@@ -89,7 +93,7 @@
             return response(self._grant(json.loads(request.body)), fields)
         if request.path == "/release":
             return await self._release(json.loads(request.body), fields)
-        return await self._run(request, fields)
+        return await self._run(request, fields, connection)
 
     def _grant(self, order):
         first, last, fence = order["from"], order["target"], order["fence"]
@@ -112,7 +116,7 @@
             await asyncio.sleep(0.002)
         return response(200, [*fields, ("X-Handover", secrets.token_hex(8))])
 
-    async def _run(self, request, fields):
+    async def _run(self, request, fields, connection):
         key = int(request.fields.get("x-shard-key", "-1"))
         not_run = [*fields, ("X-Not-Executed", "1")]
         if self._waiting >= self.slots * 4:
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -144,11 +144,11 @@
 
     # Servers.
 
-    async def add_target(self, service, observer, **options):
+    async def add_target(self, service, observer, kind=Target, **options):
         number = next(self._numbers)
         name = f"i-{secrets.token_hex(4)}"
         host = f"{self.network}.{40 + number}"
-        target = Target(
+        target = kind(
             self.store, name, service, ZONES[number % 2], host, TARGET, observer, **options
         )
         self.targets.append(target)
@@ -168,29 +168,38 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def configuration(version, keyed_service, **changes):
-    """Return the operator's configuration with one route to a service that is divided by key."""
-    route = {
-        "host": HOST,
-        "prefix": "/look/",
-        "route_type": "safe",
-        "timeout": "1000ms",
-        "latency_goal": "500ms",
-        "priority": 1,
-        "service": keyed_service,
-        "max_attempts": 2,
-    }
-    service = {"health_path": "/health", "max_conns": 110, "sharded": True, "warm": "3s"}
-    limits = {
-        "max_header_bytes": 16384,
-        "max_body_bytes": 67108864,
-        "header_timeout": "3000ms",
-        "idle_timeout": "15000ms",
-    }
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 67108864,
+    "header_timeout": "3000ms",
+    "idle_timeout": "15000ms",
+}
+
+
+def _document(version, routes, properties):
+    """Return the operator's configuration; `routes` has the fields of each route by service."""
+    common = {"host": HOST, "priority": 1, "max_attempts": 2}
     content = {
         "version": f"r{version}",
-        "routes": {"r-look": {**route, **changes}},
-        "services": {keyed_service: service},
-        "limits": limits,
+        "routes": {f"r-{s}": {**common, "service": s, **fields} for s, fields in routes.items()},
+        "services": {service: properties for service in routes},
+        "limits": LIMITS,
     }
     return json.dumps(content).encode()
+
+
+def configuration(version, service):
+    """Return a configuration with a route to a service that is divided by key."""
+    route = {"prefix": "/look/", "route_type": "safe", "timeout": "1000ms", "latency_goal": "500ms"}
+    properties = {"health_path": "/health", "max_conns": 110, "sharded": True, "warm": "3s"}
+    return _document(version, {service: route}, properties)
+
+
+def plain_configuration(version, types):
+    """Return a configuration with a route to each of some services without keys.
+
+    `types` has the type of the route by service; the service's name is the route's prefix.
+    """
+    times = {"timeout": "5000ms", "latency_goal": "1000ms"}
+    routes = {s: {"prefix": f"/{s}/", "route_type": t, **times} for s, t in types.items()}
+    return _document(version, routes, {"health_path": "/health", "max_conns": 110})
