--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,12 +15,12 @@
 from world import FRONT, Record, World, plain_configuration  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-DRAWINGS, SPECS = "plansafe", "specbook"
+ORDERS, SPECS = "ordertill", "specbook"
 SERVERS = 3
 CONSUMERS = 12
-# Work of a server, and the length of its answer.
+# Work of a server, and the lengths of the orders and of all answers.
 WORK_S = 0.15
-ANSWER_BYTES = 200_000
+ORDER_BYTES, ANSWER_BYTES = 300, 30_000
 # When a consumer sends its second request, and when it begins to read.
 SECOND_REQUEST_S = 0.3
 FIRST_READ_S = 0.35
@@ -32,7 +32,7 @@
     """Send two requests and read what comes; return whether the first got its whole answer."""
     first, second = secrets.token_hex(8), secrets.token_hex(8)
     async with SlowConsumer(host, FRONT) as consumer:
-        await consumer.send(request(first, f"/{DRAWINGS}/1"))
+        await consumer.send(request(first, f"/{ORDERS}/1", os.urandom(ORDER_BYTES)))
         await asyncio.sleep(SECOND_REQUEST_S)
         await consumer.send(request(second, f"/{SPECS}/2"))
         await asyncio.sleep(FIRST_READ_S - SECOND_REQUEST_S)
@@ -46,11 +46,11 @@
     runs = {}
 
     def on_run(server, attempt, path):
-        runs[attempt] = server.name
+        runs[attempt] = server
         return answer_of(attempt, ANSWER_BYTES)
 
     await world.start_store()
-    types = {DRAWINGS: "download", SPECS: "safe"}
+    types = {ORDERS: "unsafe", SPECS: "safe"}
     world.store.put("op", "config", plain_configuration(1, types))
     for service in (*types,) * SERVERS:
         await world.add_target(service, on_run, kind=PlainTarget, work_s=WORK_S)
@@ -71,7 +71,8 @@
         code = await asyncio.to_thread(world.processes[name].wait, 10)
         record(f"{name} has ended with code {code}")
     lost = whole.count(False)
-    record(f"{len(runs)} requests ran; {lost} of {CONSUMERS} first requests got no whole answer")
+    ran = sum(server.service == ORDERS for server in runs.values())
+    record(f"{ran} of {CONSUMERS} orders ran; {lost} got no whole answer")
     if not runs:
         return 2
     return 1 if lost else 0
--- a/review/lib-2/slow_consumer.py
+++ b/review/lib-2/slow_consumer.py
@@ -10,13 +10,16 @@
 
 # How much a consumer reads at once, and the pause before it: some 400 KB a second.
 READ_BYTES, READ_PAUSE_S = 8192, 0.02
-RECEIVE_BUFFER_BYTES = 16_384
+RECEIVE_BUFFER_BYTES = 8192
 
 
-def request(attempt, path):
-    """Return the bytes of a request without a body."""
-    lines = [f"GET {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {attempt}"]
-    return ("\r\n".join([*lines, "X-Deadline-Ms: 8000"]) + "\r\n\r\n").encode()
+def request(attempt, path, body=b""):
+    """Return the bytes of a request, which is a POST if it has a body."""
+    lines = [f"{'POST' if body else 'GET'} {path} HTTP/1.1", f"Host: {HOST}"]
+    lines += [f"X-Attempt-Id: {attempt}", "X-Deadline-Ms: 8000"]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
 def answer_of(attempt, size):
