--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -24,6 +24,7 @@
         self.rows = {}
         self.version = 0
         self.era = era
+        self.is_away = False
         self.on_write = lambda machine, put, connection: None
         self.on_read = lambda machine, table, connection: None
         self.servers = {}
@@ -44,6 +45,23 @@
         self.version += 1
         self.rows.pop((table, key), None)
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    async def come_back_from(self, copied, away_s):
+        """Be away, and come back from a copy; the operator and the servers write theirs again."""
+        self.is_away = True
+        await asyncio.sleep(away_s)
+        current = self.rows
+        self.rows, self.version = dict(copied[0]), copied[1]
+        self.era += 1
+        for name in [n for n in self.rows if n[0] in READ_ONLY]:
+            del self.rows[name]
+        for name, (_, value) in current.items():
+            if name[0] in READ_ONLY:
+                self.put(*name, value)
+        self.is_away = False
+
     def get(self, table, key):
         row = self.rows.get((table, key))
         return row and row[1]
@@ -61,6 +79,8 @@
 
     async def _handle(self, machine, request, connection):
         await asyncio.sleep(ANSWER_S)
+        if self.is_away:
+            return self._answer(503, {})
         if request.method == "GET" and request.path == "/rows-get":
             query = {k: v[0] for k, v in parse_qs(request.target.partition("?")[2]).items()}
             self.on_read(machine, query["table"], connection)
