--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,86 +1,100 @@
-"""A machine is told to stop while consumers send a second request and read slowly."""
+"""The store comes back from a copy a second time, as a new leader reads the owners of keys."""
 
 import asyncio
 import os
-import secrets
-import signal
 import sys
+from collections import deque
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-2"))
 
-from plain_target import PlainTarget  # noqa: E402
-from slow_consumer import SlowConsumer, answer_of, request  # noqa: E402
-from world import FRONT, Record, World, plain_configuration  # noqa: E402
+from owners import SERVICE, OwnerChecks, release_servers, send_requests  # noqa: E402
+from world import Record, World, configuration  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ORDERS, SPECS = "ordertill", "specbook"
-SERVERS = 3
-CONSUMERS = 12
-# Work of a server, and the lengths of the orders and of all answers.
-WORK_S = 0.15
-ORDER_BYTES, ANSWER_BYTES = 300, 30_000
-# When a consumer sends its second request, and when it begins to read.
-SECOND_REQUEST_S = 0.3
-FIRST_READ_S = 0.35
-# When the machine is told to stop, after the first requests were sent.
-STOP_S = 0.05
+SERVERS = 6
+STOPS = 2
+# Age of the copy, time between two copies, and for how long the store is away.
+COPY_AGE_S, COPY_S = 3.0, 0.25
+AWAY_S, SHORT_AWAY_S = 2.0, 0.3
+# Time after a drill until all keys are served again.
+SETTLE_S = 18.0
 
 
-async def consume(host, record):
-    """Send two requests and read what comes; return whether the first got its whole answer."""
-    first, second = secrets.token_hex(8), secrets.token_hex(8)
-    async with SlowConsumer(host, FRONT) as consumer:
-        await consumer.send(request(first, f"/{ORDERS}/1", os.urandom(ORDER_BYTES)))
-        await asyncio.sleep(SECOND_REQUEST_S)
-        await consumer.send(request(second, f"/{SPECS}/2"))
-        await asyncio.sleep(FIRST_READ_S - SECOND_REQUEST_S)
-        sizes = {first: ANSWER_BYTES, second: ANSWER_BYTES}
-        answers, end = await consumer.read_answers([first, second], sizes)
-    record(f"{first}, {second}: {answers}, then {end}")
-    return bool(answers) and answers[0].is_whole
+async def keep_copies(store, copies, stopped):
+    while not stopped.is_set():
+        copies.append(store.copy())
+        await asyncio.sleep(COPY_S)
 
 
 async def run(world, record):
-    runs = {}
-
-    def on_run(server, attempt, path):
-        runs[attempt] = server
-        return answer_of(attempt, ANSWER_BYTES)
-
+    checks = OwnerChecks(record, world.targets)
+    watching = asyncio.ensure_future(checks.watch())
+    store = world.store
     await world.start_store()
-    types = {ORDERS: "unsafe", SPECS: "safe"}
-    world.store.put("op", "config", plain_configuration(1, types))
-    for service in (*types,) * SERVERS:
-        await world.add_target(service, on_run, kind=PlainTarget, work_s=WORK_S)
+    store.put("op", "config", configuration(1, SERVICE))
+    for _ in range(SERVERS):
+        await world.add_target(SERVICE, checks)
     for name in world.instances:
         world.launch(name)
     for name in world.instances:
         if not await world.until_ready(name):
             return 2
-    await asyncio.sleep(2.0)
-    name, host = next(iter(world.instances.items()))
-    consumers = [asyncio.ensure_future(consume(host, record)) for _ in range(CONSUMERS)]
-    if TROUBLE:
-        await asyncio.sleep(STOP_S)
-        record(f"SIGTERM to {name}")
-        world.processes[name].send_signal(signal.SIGTERM)
-    whole = await asyncio.gather(*consumers)
-    if TROUBLE:
-        code = await asyncio.to_thread(world.processes[name].wait, 10)
-        record(f"{name} has ended with code {code}")
-    lost = whole.count(False)
-    ran = sum(server.service == ORDERS for server in runs.values())
-    record(f"{ran} of {CONSUMERS} orders ran; {lost} got no whole answer")
-    if not runs:
+    copies = deque(maxlen=round(COPY_AGE_S / COPY_S))
+    stopped = asyncio.Event()
+    copying = asyncio.ensure_future(keep_copies(store, copies, stopped))
+    traffic = asyncio.ensure_future(send_requests(world, stopped))
+    await asyncio.sleep(4.0)
+    if not checks.grants:
         return 2
-    return 1 if lost else 0
+    if TROUBLE:
+        leader = world.leader()
+        record(f"first drill: the store is away; {leader}, which leads, is killed and starts again")
+        world.processes[leader].kill()
+        world.processes[leader].wait()
+        await store.come_back_from(copies[0], AWAY_S)
+        world.launch(leader)
+        await asyncio.sleep(SETTLE_S)
+        record(f"{checks.broken} breaks after the first drill")
+    releasing = asyncio.ensure_future(release_servers(world, checks, stopped))
+    last_leader = world.leading_process()
+    drills = []
+
+    def on_write(machine, put, connection):
+        nonlocal last_leader
+        if ("leader", "leader") not in put or world.leading_process() == last_leader:
+            return
+        last_leader = world.leading_process()
+        record(f"{last_leader} leads")
+        if TROUBLE and not drills:
+            record("second drill: the store is away")
+            drills.append(asyncio.ensure_future(store.come_back_from(copies[0], SHORT_AWAY_S)))
+
+    store.on_write = on_write
+    await asyncio.sleep(4.0)
+    for _ in range(STOPS):
+        leader = world.leader()
+        drills.clear()
+        record(f"SIGTERM to {leader}, which leads")
+        await world.stop_gracefully(leader)
+        world.launch(leader)
+        await world.until_ready(leader)
+        await asyncio.sleep(5.0)
+        if checks.broken:
+            break
+        await asyncio.sleep(SETTLE_S if TROUBLE else 0)
+    stopped.set()
+    await asyncio.gather(releasing, copying)
+    watching.cancel()
+    record(f"answers by status: {await traffic}; {checks.grants} grants, {checks.runs} runs")
+    record(f"{checks.broken} breaks of OWNER" if checks.broken else "OWNER held")
+    return 1 if checks.broken else 0
 
 
 def main():
     record = Record(HERE)
-    world = World(record, instance_count=2)
+    world = World(record)
     try:
         return asyncio.run(run(world, record))
     finally:
