Let no leader exist before the recorded owners are read

Cause: the leader's work existed from the election on, and a flag told whether the rows of owners had been read. A change of the registry or the configuration before that created empty leases, which count as a change if the store's generation is above 0, and the flag wasn't looked at by writes. The renewal that carried them was rejected, the version of the row was taken from the rejection, and the next write replaced the row. Any read that takes longer than two writes opens the window.

Change: a tenure begins with the election, and its leader is built from the rows of owners. Until they are read there is nothing that could write a row of owners, renew a lease, grant, release or publish a map; the member renews its own row alone. The same tenure tells that a stop, a yield or a lost leadership prevents the work also if it hasn't begun.

Evidence: the new test fails on the code before (a used token) and passes now. Ruled out: a row of owners that is read as absent by mistake; the store's log of the case shows the row being replaced.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -19,7 +19,6 @@
     RangeLease,
     ReleaseOrder,
     ServiceLeases,
-    decode_record,
     encode_record,
     record_of,
 )
@@ -33,15 +32,9 @@
 from ..keyspace.hot_keys import KeyLimits
 from ..keyspace.lease import apply_result, continue_after_write, next_order, register_order
 from ..keyspace.leaving_owners import replace_unusable_owners, unresponsive_owners
-from ..keyspace.lost_history import (
-    adopt_outdated_record,
-    extend_for_unknown_renewals,
-    skip_lost_tokens,
-    unknown_leases_end,
-)
+from ..keyspace.lost_history import extend_for_unknown_renewals, skip_lost_tokens
 from ..keyspace.restarts import fence_restarted_former_owners
 from ..keyspace.service_leases import (
-    adopt_record,
     assign_initial_owners,
     key_limits,
     merge_adjacent_ranges,
@@ -52,7 +45,8 @@
 from ..placement.loads import LoadTracker
 from .leadership import Leadership
 from .messages import KeyCount
-from .store import Expectation, NewRow, StoredRow, generation_of
+from .recorded_owners import RecordedOwners
+from .store import Expectation, NewRow, StoredRow
 from .store_clock import StoreClock
 
 __all__ = ["Leader", "OrderSender"]
@@ -118,8 +112,19 @@
         Called when there are changes to write to the store.
     store_clock : StoreClock
     timing : LeaseTiming
+    owners : RecordedOwners
+        What the rows of the store tell of the leaders before. Without it there is no leader.
+    no_moves_before : timedelta, optional
+        Instant before which leases are renewed and nothing else is done, because the former leader,
+        which doesn't know this one, may lead on.
     reaches_service : callable, optional
         Returns whether this instance reaches any upstream of a service, given its name.
+
+    Attributes
+    ----------
+    generation : int
+        Generation of the store to which the known versions of the rows belong.
+    services : dict of str to ServiceLeases
     """
 
     def __init__(
@@ -134,6 +139,8 @@
         on_change: Callable[[], None],
         store_clock: StoreClock,
         timing: LeaseTiming,
+        owners: RecordedOwners,
+        no_moves_before: timedelta = LONG_AGO,
         reaches_service: Callable[[str], bool] = lambda service: True,
     ) -> None:
         self._clock = clock
@@ -155,20 +162,17 @@
         self._health_check_paths: dict[str, str] = {}
         self._published_maps: dict[str, OwnershipMap] = {}
         self._rebalanced_at = timedelta()
-        self._has_started = False
         # Until then, leases may be left of which no record is.
-        self._unrecorded_until = timedelta(days=-1)
+        self._unrecorded_until = owners.unrecorded_until
         self._is_stopped = False
         self._has_stopped_moves = False
-        self._no_moves_before = LONG_AGO
-        # Generation in which the rows were last written on top of an older copy. Tokens are skipped
-        # once for each, so that those of a generation stay below those of the next.
-        self._rewritten_generation = 0
+        self._no_moves_before = no_moves_before
         self._was_store_silent = False
-        self._long_holds_until = timedelta(days=-1)
+        self._long_holds_until = owners.long_holds_until
         self._is_tick_scheduled = False
         self._random = random.Random()
-        self.services: dict[str, ServiceLeases] = {}
+        self.generation = owners.generation
+        self.services = owners.services
 
     @property
     def is_dirty(self) -> bool:
@@ -177,11 +181,8 @@
 
     @property
     def has_long_holds(self) -> bool:
-        """Whether leases with the longest duration may still be in force.
-
-        Before the record is read, nothing is known of the former leader's leases.
-        """
-        return not self._has_started or self._clock.now() < self._long_holds_until
+        """Whether leases with the longest duration may still be in force."""
+        return self._clock.now() < self._long_holds_until
 
     @property
     def is_settled(self) -> bool:
@@ -191,80 +192,23 @@
         )
 
     def start(
-        self,
-        rows: Iterable[StoredRow],
-        lease_duration: timedelta,
-        lost_authority_ends_at: timedelta | None,
-        known_maps: Mapping[str, OwnershipMap] | None = None,
-        no_moves_before: timedelta = LONG_AGO,
+        self, services: Iterable[ServiceProperties], upstreams: Mapping[str, Upstream]
     ) -> None:
-        """Restore the leases from the rows of the store and start the periodic work.
-
-        Parameters
-        ----------
-        rows : iterable of StoredRow
-        lease_duration : timedelta
-            Longest lease duration of the grants that a former leader may have sent recently.
-        lost_authority_ends_at : timedelta or None
-            Instant by which no leader whose rows the store has lost has authority, if it has lost
-            any.
-        known_maps : mapping of str to OwnershipMap, optional
-            The maps that this member last received from a leader, by service. They tell more recent
-            owners than rows that the store has brought back from a copy.
-        no_moves_before : timedelta, optional
-            Instant before which leases are renewed and nothing else is done, because the former
-            leader, which doesn't know this one, may lead on.
-        """
-        now = self._clock.now()
-        self._no_moves_before = no_moves_before
-        if lost_authority_ends_at is not None:
-            self._unrecorded_until = unknown_leases_end(self._timing, lost_authority_ends_at)
-        if lease_duration > self._timing.lease_duration:
-            self._long_holds_until = self._timing.latest_expiry(now, lease_duration)
-        for row in rows:
-            try:
-                record = decode_record(row.value)
-            except ValueError as e:
-                _log.error("the ownership record of service {} can't be decoded: {}", row.key, e)
-                continue
-            leases = self.services[row.key] = ServiceLeases(row.key, row_version=row.version)
-            generation = generation_of(row.version)
-            if record.generation < generation:
-                _log.warning(
-                    "the ownership record of service {} is older than the last one: its keys are "
-                    "granted anew once no lost lease can be left",
-                    row.key,
-                )
-                adopt_outdated_record(
-                    leases,
-                    record,
-                    generation,
-                    self._timing,
-                    lost_authority_ends_at or now,
-                    (known_maps or {}).get(row.key),
-                )
-                continue
-            adopt_record(
-                leases,
-                record,
-                self._timing,
-                lease_duration,
-                self._store_clock.local_time_after,
-                now,
-            )
-        _log.info("restored the leases of {} services", len(self.services))
-        self._has_started = True
+        """Start the periodic work for the keyed services and the known upstreams."""
+        self.update_fleet(services, upstreams)
         self._tick()
 
     def rewrite(self, rows: Iterable[StoredRow], generation: int) -> None:
-        """Let all leases be written again, on top of the rows of an older copy of the store."""
+        """Let all leases be written again, on top of the rows of an older copy of the store.
+
+        Tokens are skipped once, so that those of a generation stay below those of the next.
+        """
         versions = {row.key: row.version for row in rows}
         for service, leases in self.services.items():
             leases.row_version = versions.get(service, 0)
             leases.change_count += 1
-            if generation > self._rewritten_generation:
-                skip_lost_tokens(leases, 1)
-        self._rewritten_generation = generation
+            skip_lost_tokens(leases, generation - self.generation)
+        self.generation = generation
 
     def count_in_unknown_renewals(self) -> None:
         """Extend the latest expiry of leases that an unknown leader may have renewed."""
@@ -289,7 +233,7 @@
             if service.name not in self.services:
                 leases = self.services[service.name] = ServiceLeases(service.name)
                 # Records of the service, with their tokens, may be lost.
-                skip_lost_tokens(leases, self._leadership.generation)
+                skip_lost_tokens(leases, self.generation)
             self._health_check_paths[service.name] = service.health_check_path
         self._upstreams = upstreams
         self._unresponsive = {
@@ -329,7 +273,7 @@
                     leases.last_token,
                     leases.leases,
                     self._store_clock.store_time_at_most,
-                    self._leadership.generation,
+                    self.generation,
                 )
                 expected.append(Expectation("keys", leases.service, leases.row_version))
                 rows.append(NewRow("keys", leases.service, encode_record(record)))
@@ -363,8 +307,7 @@
 
     def _run_due_work(self) -> None:
         self._is_tick_scheduled = False
-        # Before the recorded owners are read, keys may have owners that this leader doesn't know.
-        if self._is_stopped or not self._has_started:
+        if self._is_stopped:
             return
         now = self._clock.now()
         was_dirty = self.is_dirty
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -45,10 +45,12 @@
     StoreReader,
 )
 from .received_state import ReceivedState, maps_of_rows
+from .recorded_owners import restore_owners
 from .registry_reports import RegistryReports
 from .shared_configuration import SharedConfiguration, StoredConfiguration
 from .store import RowsRead, RowStore, StoredRow, generation_of
 from .store_clock import StoreClock
+from .tenure import Tenure
 from .term_exchange import TermExchange
 from .totals import pack_key_limits, pack_totals, unpack_key_limits
 from .writer import LeadershipWriter
@@ -264,7 +266,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this member is the leader."""
-        return self._leader is not None
+        return self._writer.tenure is not None
 
     @property
     def leader_name(self) -> str:
@@ -275,7 +277,7 @@
     @property
     def instance_count(self) -> int | None:
         """Number of running instances according to the leader; None while no leader is heard."""
-        if self._leader is None and self._clock.now() - self._leader_heard_at > MAX_STATE_AGE:
+        if not self.is_leader and self._clock.now() - self._leader_heard_at > MAX_STATE_AGE:
             return None
         return self._announced_instance_count
 
@@ -286,6 +288,7 @@
 
     @property
     def _leader(self) -> Leader | None:
+        """The leader's work, once this member leads and has read the recorded owners of keys."""
         return self._writer.leader
 
     def ages(self) -> dict[str, float]:
@@ -314,10 +317,11 @@
             leader.stop_moves()
             while not leader.is_settled and self._clock.now() - started_at < MAX_SETTLING_TIME:
                 await self._sleep(TICK_INTERVAL)
-            leader.stop()
         self._is_stopping = True
+        if self._writer.tenure is not None:
+            self._writer.tenure.end()
         await self._writer.resign()
-        self._writer.leader = None
+        self._writer.tenure = None
 
     def abstain(self, duration: timedelta) -> None:
         """Leave the leadership to others for a while, because this member could not do its work.
@@ -325,24 +329,25 @@
         A leader resigns and stays a member.
         """
         self._abstains_until = self._clock.now() + duration
-        if self._leader is not None and not self._is_yielding and not self._is_stopping:
+        tenure = self._writer.tenure
+        if tenure is not None and not self._is_yielding and not self._is_stopping:
             self._is_yielding = True
-            yielding = Deferred.fromCoroutine(self._yield_leadership(self._leader))
+            yielding = Deferred.fromCoroutine(self._yield_leadership(tenure))
             yielding.addErrback(
                 lambda f: _log.error("failed to yield the leadership: {}", f.getTraceback())
             )
 
-    async def _yield_leadership(self, leader: Leader) -> None:
+    async def _yield_leadership(self, tenure: Tenure) -> None:
         term = self._leadership.led_term
         _log.warning("yields the leadership of term {}", term)
-        leader.stop()
+        tenure.end()
         # An order that is on the way could extend a lease that the successor takes for known.
         await self._sleep(self._lease_timing.order_timeout)
         try:
             await self._writer.resign()
         finally:
             self._is_yielding = False
-        if self._leader is leader:
+        if self._writer.tenure is tenure:
             self._step_down()
         self._leadership.is_leader = False
         if not self._is_stopping:
@@ -359,7 +364,7 @@
         # Scheduled first, so that an unexpected exception ends this tick only.
         self._clock.call_later(TICK_INTERVAL, self._tick)
         now = self._clock.now()
-        is_leader = self._leader is not None
+        is_leader = self.is_leader
         self._concurrency.set_enabled(is_feature_on(self._setup.adaptive_concurrency, self.routes))
         self._start_due_reads(now)
         self._configuration.use_pending_if_due()
@@ -371,15 +376,15 @@
                 self._concurrency.estimate_alone()
         if not self._is_stopping:
             self._renew_or_take_over(now)
-            if self._leader is not None and now - self._update_sent_at >= UPDATE_INTERVAL:
+            if self.is_leader and now - self._update_sent_at >= UPDATE_INTERVAL:
                 self._send_update(with_totals=True)
-            elif self._leader is None and now - self._report_sent_at >= REPORT_INTERVAL:
+            elif not self.is_leader and now - self._report_sent_at >= REPORT_INTERVAL:
                 self._send_report(now)
 
     def _start_due_reads(self, now: timedelta) -> None:
         leadership = self._leadership
         self._reader.start_due_reads(
-            is_leader=self._leader is not None,
+            is_leader=self.is_leader,
             leader_heard_at=self._leader_heard_at,
             leader_may_act=not leadership.may_take_over(now),
             has_leader_row=(leadership.row is not None) if leadership.is_row_known else None,
@@ -427,7 +432,7 @@
             self._start_due_reads(now)
 
     def _handle_owner_rows(self, rows: Iterable[StoredRow]) -> None:
-        if self._leader is not None or self._clock.now() - self._leader_heard_at < MAX_STATE_AGE:
+        if self.is_leader or self._clock.now() - self._leader_heard_at < MAX_STATE_AGE:
             return
         self.ownership_maps.update(maps_of_rows(rows, self.ownership_maps))
         self._received_state.is_in_effect = False
@@ -465,7 +470,7 @@
         self.evacuations.log_effects()
         if self._leader is not None:
             self._leader.update_fleet(self._keyed_services(), upstreams)
-            self._schedule_update()
+        self._schedule_update()
         self._on_change()
 
     def _keyed_services(self) -> list[ServiceProperties]:
@@ -476,11 +481,11 @@
 
     def _renew_or_take_over(self, now: timedelta) -> None:
         self._leadership.step_down_without_history(now)
-        if self._leader is not None and not self._leadership.is_leader:
+        if self.is_leader and not self._leadership.is_leader:
             self._step_down()
         if self._leadership.awaits_witnesses:
             self._terms.ask()
-        elif self._leader is not None:
+        elif self.is_leader:
             if now - self._writer.last_sent_at >= self._renew_interval(now):
                 self._writer.write()
         elif self._candidacy.may_try_now(
@@ -507,18 +512,6 @@
     def _become_leader(self) -> None:
         record = self._leadership.record
         _log.info("leads from now on, term {}", record.term if record is not None else 0)
-        self._writer.leader = leader = Leader(
-            clock=self._clock,
-            leadership=self._leadership,
-            sender=self._sender,
-            load_tracker=self._load_tracker,
-            addresses=self._addresses,
-            on_map=self._on_map_changed,
-            on_change=self._writer.write,
-            store_clock=self._store_clock,
-            timing=self._lease_timing,
-            reaches_service=lambda service: self.reaches_service(service),
-        )
         self.announcements.begin_leading()
         self._links.set_peers([], is_mutual=False)
         for handler in self._leadership_handlers:
@@ -527,27 +520,51 @@
         self.evacuations.forget_peers()
         self._concurrency.forget_requests()
         self._summary = LoadSummary(self._load_tracker, self.reserved_slots)
-        starting = Deferred.fromCoroutine(self._start_leading(leader))
+        assert self._writer.tenure is not None
+        starting = Deferred.fromCoroutine(self._start_leading(self._writer.tenure))
         starting.addErrback(
             lambda f: _log.error("failed to start the leader's work: {}", f.getTraceback())
         )
 
-    async def _start_leading(self, leader: Leader) -> None:
-        while leader is self._leader:
+    async def _start_leading(self, tenure: Tenure) -> None:
+        """Read the recorded owners, without which there is nothing that could write or grant."""
+        while not tenure.is_over:
             result = await self._store.read(KEYS_TABLE)
+            if tenure.is_over:
+                return
             if isinstance(result, RowsRead):
-                leader.start(
-                    result.rows,
-                    self._writer.former_lease_duration,
-                    self._leadership.lost_authority_ends_at,
-                    self.ownership_maps,
-                    self._leadership.no_moves_before,
-                )
-                leader.update_fleet(self._keyed_services(), self.registry_view.upstreams)
+                self._begin_work(tenure, result.rows)
                 return
             self._reader.note_availability(False, result.reason)
             await self._sleep(TICK_INTERVAL)
 
+    def _begin_work(self, tenure: Tenure, rows: Iterable[StoredRow]) -> None:
+        leadership = self._leadership
+        tenure.leader = Leader(
+            clock=self._clock,
+            leadership=leadership,
+            sender=self._sender,
+            load_tracker=self._load_tracker,
+            addresses=self._addresses,
+            on_map=self._on_map_changed,
+            on_change=self._writer.write,
+            store_clock=self._store_clock,
+            timing=self._lease_timing,
+            reaches_service=lambda service: self.reaches_service(service),
+            owners=restore_owners(
+                rows,
+                self._store.generation,
+                self._lease_timing,
+                tenure.former_lease_duration,
+                leadership.lost_authority_ends_at,
+                self._store_clock.local_time_after,
+                self.ownership_maps,
+                self._clock.now(),
+            ),
+            no_moves_before=leadership.no_moves_before,
+        )
+        tenure.leader.start(self._keyed_services(), self.registry_view.upstreams)
+
     def _on_store_generation(self, generation: int) -> None:
         """Drop what depends on rows that the store may have lost, and restore what it must hold."""
         now = self._clock.now()
@@ -558,38 +575,41 @@
         self.registry_view.begin_grace(now)
         self._load_tracker.warmups.distrust_registry(now)
         self.evacuations.begin_grace()
-        leader = self._leader
-        if leader is not None and self._leadership.awaits_witnesses:
+        tenure = self._writer.tenure
+        if tenure is not None and self._leadership.awaits_witnesses:
             _log.info(
                 "the store is in generation {} and this leader's authority is over: asking the "
                 "other members for later leaders",
                 generation,
             )
             self._terms.ask()
-        elif leader is not None and self._leadership.is_leader:
-            self._lead_on(leader, generation)
+        elif tenure is not None and self._leadership.is_leader:
+            self._lead_on(tenure, generation)
 
-    def _lead_on(self, leader: Leader, generation: int) -> None:
+    def _lead_on(self, tenure: Tenure, generation: int) -> None:
         _log.info("leads on in generation {} of the store and writes its rows again", generation)
-        rewriting = Deferred.fromCoroutine(self._rewrite_rows(leader, generation))
+        rewriting = Deferred.fromCoroutine(self._rewrite_rows(tenure, generation))
         rewriting.addErrback(
             lambda f: _log.error("failed to write the rows again: {}", f.getTraceback())
         )
 
     def _lead_on_if_leader(self) -> None:
-        leader = self._leader
-        if leader is not None:
+        tenure = self._writer.tenure
+        if tenure is not None and tenure.leader is not None:
             self._leadership.resume()
-            leader.count_in_unknown_renewals()
-            self._lead_on(leader, self._store.generation)
+            tenure.leader.count_in_unknown_renewals()
+            self._lead_on(tenure, self._store.generation)
 
-    async def _rewrite_rows(self, leader: Leader, generation: int) -> None:
+    async def _rewrite_rows(self, tenure: Tenure, generation: int) -> None:
         """Write the leader's rows again, on top of what the older copy holds."""
-        while leader is self._leader and generation == self._store.generation:
+        while not tenure.is_over and generation == self._store.generation:
             owner_rows = await self._store.read(KEYS_TABLE)
             leader_row = await self._store.read_row(LEADER_TABLE, LEADER_KEY)
+            if tenure.is_over or generation != self._store.generation:
+                return
             if isinstance(owner_rows, RowsRead) and isinstance(leader_row, RowsRead):
-                leader.rewrite(owner_rows.rows, generation)
+                if tenure.leader is not None and tenure.leader.generation != generation:
+                    tenure.leader.rewrite(owner_rows.rows, generation)
                 self._observe_leader_row(leader_row.rows[0] if leader_row.rows else None)
                 if self._leadership.is_leader:
                     self._writer.write()
@@ -598,9 +618,9 @@
 
     def _step_down(self) -> None:
         _log.warning("lost the leadership")
-        assert self._leader is not None
-        self._leader.stop()
-        self._writer.leader = None
+        assert self._writer.tenure is not None
+        self._writer.tenure.end()
+        self._writer.tenure = None
         self._leader_heard_at = LONG_AGO
 
     def _on_map_changed(self, ownership_map: OwnershipMap) -> None:
@@ -616,7 +636,7 @@
         self._schedule_update()
 
     def _schedule_update(self) -> None:
-        if self._leader is not None and not self._is_update_scheduled:
+        if self.is_leader and not self._is_update_scheduled:
             self._is_update_scheduled = True
             delay = max(MIN_UPDATE_DELAY, UPDATE_DELAY_PER_INSTANCE * self.likely_instance_count)
             self._clock.call_later(delay, self._send_update)
@@ -624,7 +644,7 @@
     def _send_update(self, *, with_totals: bool = False) -> None:
         self._is_update_scheduled = False
         row, record = self._leadership.row, self._leadership.record
-        if self._leader is None or row is None or record is None:
+        if not self.is_leader or row is None or record is None:
             return
         now = self._clock.now()
         instance_count = len(self._links.connected_peers()) + 1
@@ -662,11 +682,9 @@
 
     def _totals(self, now: timedelta) -> Totals:
         """Count this instance's own report and return the loads over all instances."""
-        assert self._leader is not None
         own_report = self._load_tracker.collect_report()
-        for count in own_report.keys:
-            self._leader.count_key(count)
-        self._update_key_limits(self._leader.key_limits())
+        self._count_keys(own_report)
+        self._update_key_limits(self._leader.key_limits() if self._leader is not None else {})
         peers = self._links.connected_peers()
         self._summary.update(own_report, peers, self.registry_view.upstreams.values(), now)
         self.reserved_slots = self._summary.reserved_slots
@@ -674,6 +692,11 @@
             self._registry_version, pack_totals(self._load_tracker, self._upstream_names, now)
         )
 
+    def _count_keys(self, report: LoadReport) -> None:
+        if self._leader is not None:
+            for count in report.keys:
+                self._leader.count_key(count)
+
     def _update_key_limits(self, limits: Mapping[str, KeyLimits]) -> None:
         for service, current in limits.items():
             former = self.key_limits.get(service, KeyLimits())
@@ -698,12 +721,9 @@
                 self._concurrency.report_to_leader()
 
     def _handle_report(self, peer: str, report: LoadReport) -> None:
-        if self._leader is None:
-            return
-        now = self._clock.now()
-        self._summary.count_report(peer, report, now)
-        for count in report.keys:
-            self._leader.count_key(count)
+        if self.is_leader:
+            self._summary.count_report(peer, report, self._clock.now())
+            self._count_keys(report)
 
     def _handle_update(self, peer: str, update: LeaderUpdate) -> None:
         record = self._leadership.record
@@ -721,10 +741,10 @@
                 StoredRow(LEADER_KEY, encode_leader(announced), update.row_version)
             )
         self._pass_on(update)
-        if self._leader is not None and not self._leadership.is_leader:
+        if self.is_leader and not self._leadership.is_leader:
             # The first update of a stream holds the full state, so it must not be missed.
             self._step_down()
-        if self._leader is not None or not peer == update.leader == self.leader_name:
+        if self.is_leader or not peer == update.leader == self.leader_name:
             return
         now = self._clock.now()
         self._leader_heard_at = now
--- a/laburnumhatch/coordination/tests/cluster.py
+++ b/laburnumhatch/coordination/tests/cluster.py
@@ -29,6 +29,7 @@
 )
 
 WRITE_TIMEOUT = milliseconds(900)
+READ_TIMEOUT = milliseconds(1000)
 # Table and key of the configuration, whose document is its version.
 CONFIGURATION = ("configuration", "configuration")
 # Table whose keys are the evacuated data centres.
@@ -54,6 +55,11 @@
         self.answer_times = {}
         # Delays of the next writes, which get no answer.
         self.write_delays = []
+        # Fates of the next reads of a table, by member and table: the time until the answer, or
+        # None if the answer is lost.
+        self.read_fates = {}
+        # Called with the member and the rows of each write that takes effect.
+        self.on_commit = lambda member, rows: None
         self.call_count = 0
         self.call_counts = Counter()
         self.generation = 0
@@ -122,7 +128,16 @@
         if self._call_fails() or table in self.store.unreadable_tables:
             return NotExecuted("down")
         rows = tuple(self._shown(r) for (t, _), r in sorted(self.store.rows.items()) if t == table)
-        return RowsRead(rows, self.store.clock.now())
+        answer, generation = RowsRead(rows, self.store.clock.now()), self.generation
+        fates = self.store.read_fates.get((self.member, table))
+        if fates:
+            fate = fates.pop(0)
+            await self._sleep(READ_TIMEOUT if fate is None else fate)
+            if fate is None:
+                return Unanswered("lost")
+            if generation != self.generation:
+                return Unanswered("an answer of an earlier generation")
+        return answer
 
     async def read_row(self, table, key):
         if self._call_fails():
@@ -171,6 +186,7 @@
         store.version += 1
         for row in rows:
             store.rows[row.table, row.key] = StoredRow(row.key, row.value, store.version)
+        store.on_commit(self.member, rows)
         return Committed(version_in_generation(generation, store.version), self.store.clock.now())
 
 
@@ -392,8 +408,8 @@
         member = self.members.pop(name)
         member._tick = lambda: None
         member._is_stopping = True
-        if member._leader is not None:
-            member._leader.stop()
+        if member.is_leader:
+            member._step_down()
 
     def run(self, seconds):
         """Advance the clock in steps of 20 ms."""
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -1,6 +1,7 @@
 """Conditional writes by which a member becomes the leader, renews its term and resigns."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 import logbook
@@ -22,6 +23,7 @@
     Unanswered,
 )
 from .store_clock import StoreClock
+from .tenure import Tenure
 
 __all__ = ["LeadershipWriter"]
 
@@ -32,6 +34,27 @@
 _log = logbook.Logger("laburnumhatch.member")
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingWrite:
+    """A write that was sent and whose answer is outstanding or lost.
+
+    Attributes
+    ----------
+    sent_at : timedelta
+    tenure : Tenure or None
+        The tenure in which it was sent; None for an attempt to take over.
+    covered_changes : mapping of str to int
+        Change counts that it covers, by service.
+    former_lease_duration : timedelta
+        Longest lease duration of the grants that the leader before may have sent recently.
+    """
+
+    sent_at: timedelta
+    tenure: Tenure | None
+    covered_changes: Mapping[str, int]
+    former_lease_duration: timedelta
+
+
 class LeadershipWriter:
     """Writes the leader's row together with the changes of ownership.
 
@@ -54,10 +77,8 @@
 
     Attributes
     ----------
-    leader : Leader or None
-        The leader's work while this member leads, otherwise None.
-    former_lease_duration : timedelta
-        Longest lease duration of the grants that the former leader may have sent recently.
+    tenure : Tenure or None
+        The period of leadership while this member leads, otherwise None.
     last_sent_at : timedelta
         When the last write was sent.
     """
@@ -87,20 +108,23 @@
         self._on_leader_row = on_leader_row
         self._on_elected = on_elected
         self._write_count = 0
-        # By write number: when the write was sent and the change counts by service that it covers.
-        self._pending: dict[int, tuple[timedelta, Mapping[str, int]]] = {}
+        self._pending: dict[int, _PendingWrite] = {}
         self._is_writing = False
         self._is_stopped = False
-        self.leader: Leader | None = None
-        self.former_lease_duration = lease_timing.max_lease_duration
+        self.tenure: Tenure | None = None
         self.last_sent_at = LONG_AGO
 
+    @property
+    def leader(self) -> Leader | None:
+        """The leader's work, once this member leads and has read the recorded owners of keys."""
+        return self.tenure.leader if self.tenure is not None else None
+
     def take_over(self) -> None:
         """Try to become the leader unless a write is in progress.
 
         The caller has checked that no other leader can have authority.
         """
-        if self.leader is None:
+        if self.tenure is None:
             self._start_write()
 
     def write(self) -> None:
@@ -109,7 +133,7 @@
         A member that doesn't lead, or not any more, writes nothing: it would take the leadership.
         """
         leadership = self._leadership
-        if self.leader is not None and leadership.is_leader and not leadership.awaits_witnesses:
+        if self.tenure is not None and leadership.is_leader and not leadership.awaits_witnesses:
             self._start_write()
 
     def _start_write(self) -> None:
@@ -140,8 +164,8 @@
             pause: Deferred[None] = Deferred()
             self._clock.call_later(REWRITE_DELAY, pause.callback, None)
             await pause
-        row = self._leadership.row
-        if row is None or not self._leadership.is_leader or self._leadership.awaits_witnesses:
+        leadership, row = self._leadership, self._leadership.row
+        if row is None or not leadership.is_leader or leadership.awaits_witnesses:
             return
         new = NewRow(LEADER_TABLE, LEADER_KEY, self._next_row(is_resigning=True))
         expected = Expectation(LEADER_TABLE, LEADER_KEY, row.version)
@@ -161,8 +185,8 @@
 
     async def _write_once(self) -> None:
         sent_at = self.last_sent_at = self._clock.now()
-        if self.leader is None:
-            self.former_lease_duration = self._max_former_lease_duration()
+        tenure = self.tenure
+        if tenure is None:
             self._leadership.consider_predecessor(sent_at)
         row = self._leadership.row
         expected = [Expectation(LEADER_TABLE, LEADER_KEY, row.version if row is not None else 0)]
@@ -173,7 +197,9 @@
             expected += lease_expectations
             rows += lease_rows
         write_number = self._write_count
-        self._pending[write_number] = (sent_at, covered_changes)
+        self._pending[write_number] = _PendingWrite(
+            sent_at, tenure, covered_changes, self._max_former_lease_duration()
+        )
         result = await self._store.write(expected, rows)
         match result:
             case Committed(version=version, time=time):
@@ -197,7 +223,9 @@
             self._port,
             self._write_count,
             is_resigning=is_resigning,
-            long_holds=self.leader is not None and self.leader.has_long_holds,
+            # Before the record is read, nothing is known of the former leader's leases.
+            long_holds=self.tenure is not None
+            and (self.leader is None or self.leader.has_long_holds),
             renewed_by=self._store_clock.store_time_at_most(self._clock.now()),
         )
         return encode_leader(record)
@@ -217,10 +245,11 @@
         self._on_leader_row(next((row for row in rows_found if row.key == LEADER_KEY), None))
 
     def _acknowledge(self, row: StoredRow, write_number: int) -> None:
-        sent_at, covered_changes = self._pending[write_number]
+        write = self._pending[write_number]
         self._pending = {n: w for n, w in self._pending.items() if n > write_number}
-        self._leadership.confirm_write(row, sent_at, self._clock.now())
+        self._leadership.confirm_write(row, write.sent_at, self._clock.now())
         if self.leader is not None:
-            self.leader.confirm_written(covered_changes, row.version)
-        elif self._leadership.is_leader and not self._is_stopped:
+            self.leader.confirm_written(write.covered_changes, row.version)
+        elif self.tenure is None and self._leadership.is_leader and not self._is_stopped:
+            self.tenure = Tenure(write.former_lease_duration)
             self._on_elected()
