Wait for the leases that a second older copy of the store hides

Cause: the wait for lost leases was counted from `lost_authority_ends_at`, which each leader hands down to the next. A leader that has authority when the store comes back from a copy knows that there is no later leader, and left the instant as it was: that of an earlier loss. That is right only if it has read the owners of keys before. One that reads them from the copy doesn't know what the leaders before it have granted since, and its wait was over at once. The same held for a service whose row the copy doesn't have, also if nothing had been lost before.

Change: such a leader notes the loss, also in its row for its successors. Whoever finds a row of owners of an earlier generation counts the wait from then, when the authority of all others is over; the recorded instant could only shorten it by the time of an election. A leader that has never known the owners doesn't ask for witnesses, since it has nothing to lead on with.

Evidence: the new tests fail on the code before (two holders; no loss noted) and pass now.

--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -123,7 +123,9 @@
     have authority although its row is gone. So the authority of any leader is waited for from then
     on, whatever the row says. A leader that has authority itself knows that there is no later one,
     and writes its row again at once. One whose authority is over for a few seconds asks the others
-    first. Later leaders learn of the loss from the row.
+    first. Later leaders learn of the loss from the row. So do those after a leader that had not
+    read the recorded owners before the loss: it knows of no later leader, but not what the ones
+    before it have granted.
 
     Parameters
     ----------
@@ -152,6 +154,8 @@
         leader. It may not act before.
     no_moves_before : timedelta
         Instant before which this member may move no keys as the leader.
+    knows_owners : bool
+        Whether this member has read the recorded owners of keys since it became the leader.
     highest_term, led_term : int
         Highest term that this member has known, and the last one in which it led.
     """
@@ -172,6 +176,8 @@
         self._observed_at: timedelta | None = None
         self._expired_version = -1
         self._generation_began_at: timedelta | None = None
+        # Generation that began with the loss of which `lost_authority_ends_at` tells.
+        self._lost_generation: int | None = None
         self._is_row_known = False
         # Generation for which the row was written.
         self._row_generation = 0
@@ -184,6 +190,7 @@
         self._known_leaders: set[str] = set()
         self.awaits_witnesses = False
         self.no_moves_before = NEVER
+        self.knows_owners = False
         self.highest_term = self.led_term = 0
         self.generation = 0
         self.lost_authority_ends_at: timedelta | None = None
@@ -268,7 +275,13 @@
 
     def _end_authority_without_history(self, now: timedelta) -> None:
         """Await the witnesses, or count with a lost leader, unless this member may still lead."""
-        if self.has_authority(now) or self._has_resumed:
+        if self._has_resumed:
+            return
+        if self.has_authority(now):
+            if not self.knows_owners and self._lost_generation != self.generation:
+                # No other leader has authority, but what former ones have granted may be lost.
+                self.lost_authority_ends_at = now
+                self._lost_generation = self.generation
             return
         if self._may_resume(now):
             self.awaits_witnesses = True
@@ -276,6 +289,7 @@
         self.is_leader = self.awaits_witnesses = False
         began_at = now if self._generation_began_at is None else self._generation_began_at
         self.lost_authority_ends_at = began_at + self._timing.authority_duration
+        self._lost_generation = self.generation
 
     def _lost_authority_end(self, record: LeaderRecord | None, now: timedelta) -> timedelta | None:
         if record is None or record.lost_history is None:
@@ -306,6 +320,7 @@
         began_at = self._generation_began_at
         return (
             self.is_leader
+            and self.knows_owners
             and began_at is not None
             and self.generation == self._led_generation + 1
             and began_at - self.renewed_at
@@ -386,6 +401,7 @@
         if self.record is not None:
             self.led_term = self.record.term
             self.highest_term = max(self.highest_term, self.led_term)
+        self.knows_owners = self.knows_owners and self.is_leader
         self.is_leader = self.record is not None and not self.record.has_resigned
         self.renewed_at = max(self.renewed_at, sent_at)
 
--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -563,6 +563,7 @@
             ),
             no_moves_before=leadership.no_moves_before,
         )
+        leadership.knows_owners = True
         tenure.leader.start(self._keyed_services(), self.registry_view.upstreams)
 
     def _on_store_generation(self, generation: int) -> None:
--- a/laburnumhatch/coordination/recorded_owners.py
+++ b/laburnumhatch/coordination/recorded_owners.py
@@ -69,8 +69,15 @@
         The maps that this member last received from a leader, by service. They tell more recent
         owners than rows that the store has brought back from a copy.
     now : timedelta
+
+    Notes
+    -----
+    The leases of a row that is older than the present generation are counted from now, when the
+    authority of all former leaders is over. `lost_authority_ends_at` may be the end of an earlier
+    loss: the last leader may have acted after the row, and before it could write its own.
     """
     owners = RecordedOwners(generation)
+    unknown_end = unknown_leases_end(timing, now)
     if lost_authority_ends_at is not None:
         owners.unrecorded_until = unknown_leases_end(timing, lost_authority_ends_at)
     if lease_duration > timing.lease_duration:
@@ -90,13 +97,8 @@
             "anew once no lost lease can be left",
             row.key,
         )
-        adopt_outdated_record(
-            leases,
-            record,
-            generation,
-            timing,
-            lost_authority_ends_at or now,
-            known_maps.get(row.key),
-        )
+        adopt_outdated_record(leases, record, generation, timing, now, known_maps.get(row.key))
+        owners.unrecorded_until = max(owners.unrecorded_until, unknown_end)
+        owners.long_holds_until = max(owners.long_holds_until, unknown_end)
     _log.info("restored the leases of {} services", len(owners.services))
     return owners
--- a/laburnumhatch/coordination/tests/test_leadership.py
+++ b/laburnumhatch/coordination/tests/test_leadership.py
@@ -108,6 +108,22 @@
 WAIT = TIMING.authority_duration + TIMING.clock_margin
 
 
+@pytest.mark.parametrize("knows_owners", [False, True])
+def test_leader_counts_with_lost_leases_unless_it_knew_the_owners(leadership, knows_owners):
+    leadership.confirm_write(row("a/1", 5), START, START)
+    leadership.knows_owners = knows_owners
+    now = START + milliseconds(500)
+    leadership.begin_generation(2, now)
+    assert leadership.has_authority(now)
+    assert leadership.lost_authority_ends_at == (None if knows_owners else now)
+
+
+def test_leader_that_never_knew_the_owners_asks_no_witnesses(leadership):
+    leadership.confirm_write(row("a/1", 5), START, START)
+    leadership.begin_generation(1, START + TIMING.authority_duration)
+    assert not leadership.awaits_witnesses and not leadership.is_leader
+
+
 def test_lost_leader_is_waited_for_whatever_the_older_row_says(leadership):
     leadership.observe_row(row("b/1", 7), START)
     leadership.begin_generation(2, START)
--- a/laburnumhatch/coordination/tests/test_start_of_leaders.py
+++ b/laburnumhatch/coordination/tests/test_start_of_leaders.py
@@ -286,3 +286,8 @@
     # A renewal carried an empty record, and the keys were assigned anew under used tokens.
     start = play(clock, "after_a_resignation", "registry_change", "lost", "answered")
     assert start.last_tokens["s"] < 2_000_000
+
+
+def test_leases_that_a_second_copy_hides_are_waited_for(clock):
+    # The wait was counted from the loss by the first copy, and keys got second holders at once.
+    play(clock, "after_two_copies_without_maps", "short_outage_and_copy", "prompt", "answered")
