Write no leader's row of a new generation without the rows of owners

A leader that leads on after the store has come back from a copy writes its row and all rows of owners again. If its read of the owners was late or lost, but its row had been read meanwhile, a renewal wrote the leader's row alone. A successor then found a leader's row of the present generation that tells of no loss, and assigned the keys of a service whose row the copy doesn't have while upstreams held them.

--- a/laburnumhatch/coordination/tests/test_start_of_leaders.py
+++ b/laburnumhatch/coordination/tests/test_start_of_leaders.py
@@ -7,6 +7,7 @@
 
 from datetime import timedelta
 
+import pytest
 from twisted.internet.defer import Deferred
 
 from ...clocks import milliseconds
@@ -291,3 +292,25 @@
 def test_leases_that_a_second_copy_hides_are_waited_for(clock):
     # The wait was counted from the loss by the first copy, and keys got second holders at once.
     play(clock, "after_two_copies_without_maps", "short_outage_and_copy", "prompt", "answered")
+
+
+@pytest.mark.parametrize("outage_s", [0, 0.3])
+def test_leader_row_of_a_generation_comes_with_the_rows_of_owners(clock, outage_s):
+    # A leader's row alone told its successor that nothing was lost.
+    start = Start(clock)
+    leader, cluster = start.begin(), start.cluster
+    store = cluster.store
+    store.read_fates[leader, "keys"] = [None]
+    store.is_down = outage_s > 0
+    start.run(outage_s)
+    store.restore(start.first_copy)
+    cluster.publish(1)
+    store.is_down = False
+    for _ in range(30):
+        start.run(0.04)
+        row = store.rows.get(("leader", "leader"))
+        if row is not None and decode_leader(row.value).generation == store.generation:
+            assert decode_record(store.rows["keys", "s"].value).generation == store.generation
+    cluster.crash(leader)
+    start.run(SETTLING_S)
+    assert all_keys_held(cluster)
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -133,9 +133,21 @@
         A member that doesn't lead, or not any more, writes nothing: it would take the leadership.
         """
         leadership = self._leadership
-        if self.tenure is not None and leadership.is_leader and not leadership.awaits_witnesses:
+        if (
+            self.tenure is not None
+            and leadership.is_leader
+            and not leadership.awaits_witnesses
+            and self._may_renew()
+        ):
             self._start_write()
 
+    def _may_renew(self) -> bool:
+        """Return whether all rows that the store has lost can be written with the leader's row.
+
+        The leader's row alone would tell a successor that the rows of owners are recent.
+        """
+        return self.leader is None or self.leader.generation == self._store.generation
+
     def _start_write(self) -> None:
         if self._is_writing or self._is_stopped or not self._leadership.is_row_known:
             return
@@ -167,6 +179,9 @@
         leadership, row = self._leadership, self._leadership.row
         if row is None or not leadership.is_leader or leadership.awaits_witnesses:
             return
+        if not self._may_renew():
+            leadership.is_leader = False
+            return
         new = NewRow(LEADER_TABLE, LEADER_KEY, self._next_row(is_resigning=True))
         expected = Expectation(LEADER_TABLE, LEADER_KEY, row.version)
         result = await self._store.write([expected], [new])
