Let no late renewal elect a leader that has yielded

If the answer to the last renewal of a leader that yields is lost, its resignation is rejected, and the row that it reads next is its own renewal. That was taken for a takeover whose answer had been lost: the member led again in its former term, with the longest lease duration that its first election had found. Leases of 10 s that it had granted itself were counted as 2.4 s.

A renewal of a tenure that is over elects nobody; the member waits for the end of its own authority like any other.

--- a/laburnumhatch/coordination/tests/test_start_of_leaders.py
+++ b/laburnumhatch/coordination/tests/test_start_of_leaders.py
@@ -314,3 +314,24 @@
     cluster.crash(leader)
     start.run(SETTLING_S)
     assert all_keys_held(cluster)
+
+
+@pytest.mark.parametrize("phase_ms", range(0, 400, 40))
+def test_late_renewal_does_not_elect_a_leader_that_has_yielded(clock, phase_ms):
+    # It led again as after its first election, before which there were no long leases.
+    start = Start(clock)
+    start.cluster.add("a")
+    start.run(6)
+    store, member = start.cluster.store, start.cluster.members["a"]
+    store.refused_writers = {"a"}
+    start.run(1.0)
+    store.refused_writers = set()
+    start.run(0.4 + phase_ms / 1000)
+    start.cluster.upstreams.unresponsive.add("u1")
+    start.cluster.upstreams.remove("u1")
+    member.abstain(milliseconds(1))
+    # The last renewal before the resignation gets no answer.
+    start.run(0.16)
+    store.answers_to_lose = 1
+    start.run(SETTLING_S)
+    assert all_keys_held(start.cluster)
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -262,6 +262,10 @@
     def _acknowledge(self, row: StoredRow, write_number: int) -> None:
         write = self._pending[write_number]
         self._pending = {n: w for n, w in self._pending.items() if n > write_number}
+        if write.tenure is not self.tenure:
+            # A late renewal elects nobody. Its sender knows no more which leases it has granted.
+            self._leadership.observe_row(row, self._clock.now())
+            return
         self._leadership.confirm_write(row, write.sent_at, self._clock.now())
         if self.leader is not None:
             self.leader.confirm_written(write.covered_changes, row.version)
