Let a leader that is elected while it stops not rule out long leases

A member that received SIGTERM while its attempt to take over was unanswered resigned at once, and its row said that no long leases may be left. It had not read the owners, and the leader before it may have granted leases of 10 s without the store: its successor counted 2.4 s.

Only a leader that knows the owners can rule out long leases now. The new test fails on the code before.

--- a/laburnumhatch/coordination/tests/test_start_of_leaders.py
+++ b/laburnumhatch/coordination/tests/test_start_of_leaders.py
@@ -335,3 +335,23 @@
     store.answers_to_lose = 1
     start.run(SETTLING_S)
     assert all_keys_held(start.cluster)
+
+
+def test_leader_that_is_elected_while_it_stops_does_not_rule_out_long_leases(clock):
+    start = Start(clock)
+    start.begin()
+    start.arm()
+    store, cluster = start.cluster.store, start.cluster
+    store.answer_times = {name: milliseconds(200) for name in NAMES}
+    (leader,) = cluster.leaders()
+    successor, other = (name for name in NAMES if name != leader)
+    cluster.crash(other)
+    cluster.crash(leader)
+    while not cluster.members[successor]._writer._is_writing:
+        clock.advance(milliseconds(5))
+    resigning = Deferred.fromCoroutine(cluster.members[successor].resign())
+    while not resigning.called:
+        clock.advance(milliseconds(5))
+    record = decode_leader(store.rows["leader", "leader"].value)
+    assert record.member == successor and record.has_resigned
+    assert record.long_holds
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -239,8 +239,7 @@
             self._write_count,
             is_resigning=is_resigning,
             # Before the record is read, nothing is known of the former leader's leases.
-            long_holds=self.tenure is not None
-            and (self.leader is None or self.leader.has_long_holds),
+            long_holds=self.leader is None or self.leader.has_long_holds,
             renewed_by=self._store_clock.store_time_at_most(self._clock.now()),
         )
         return encode_leader(record)
