Treat no row that can't be decoded as absent

A row of owners that can't be decoded, such as one of a later build, was skipped at the start of a leader. Its service was then taken for a new one and the row overwritten, with tokens from the start of the range. A leader's row that can't be decoded let any member take over at once, although its writer may have authority.

Now the last token, which comes first in the row of owners, is read by itself. If it can be read, the keys are granted anew above it once no unknown lease can be left; if not, the row is left alone and the keys are granted to nobody, which an error in the log says. The writer of an undecodable leader's row is waited for like any leader, and may lead on without being known.

--- a/laburnumhatch/coordination/leader.py
+++ b/laburnumhatch/coordination/leader.py
@@ -164,6 +164,7 @@
         self._rebalanced_at = timedelta()
         # Until then, leases may be left of which no record is.
         self._unrecorded_until = owners.unrecorded_until
+        self._unreadable = owners.unreadable
         self._is_stopped = False
         self._has_stopped_moves = False
         self._no_moves_before = no_moves_before
@@ -230,7 +231,7 @@
     ) -> None:
         """Update the keyed services and the known upstreams."""
         for service in services:
-            if service.name not in self.services:
+            if service.name not in self.services and service.name not in self._unreadable:
                 leases = self.services[service.name] = ServiceLeases(service.name)
                 # Records of the service, with their tokens, may be lost.
                 skip_lost_tokens(leases, self.generation)
--- a/laburnumhatch/coordination/leadership.py
+++ b/laburnumhatch/coordination/leadership.py
@@ -351,10 +351,14 @@
         """
         record = self.record
         self.no_moves_before = NEVER
+        limit = self._timing.resumption_limit
+        if record is None and self.row is not None:
+            # The row can't be decoded.
+            self.no_moves_before = now + limit
+            return
         if record is None or not self.is_row_current:
             # Without a record of the present generation, no key is moved for longer anyway.
             return
-        limit = self._timing.resumption_limit
         if record.no_moves_before is not None:
             self.no_moves_before = self._local_time_after(record.no_moves_before, now + limit)
         if record.has_resigned or self._is_known_to(record.member):
@@ -416,9 +420,9 @@
             is_first = self._observed_at <= self._generation_began_at + self._timing.clock_margin
             since = self._generation_began_at if is_first else self._observed_at
             return now > since + waiting_time
-        if self.record is None or self.record.has_resigned:
+        if self.row is None or (self.record is not None and self.record.has_resigned):
             return True
-        if self.row is not None and self.row.version <= self._expired_version:
+        if self.row.version <= self._expired_version:
             return True
         return now > self._observed_at + waiting_time
 
@@ -438,7 +442,10 @@
             lost_history = LostHistory(
                 self._store_clock.store_time_at_most(self.lost_authority_ends_at)
             )
-        term = self.record.term if self.record is not None else 0
+        if self.record is not None:
+            term = self.record.term
+        else:
+            term = self.highest_term if self.row is not None else 0
         if not self.is_leader:
             term += 1
         return LeaderRecord(
@@ -474,7 +481,7 @@
     try:
         return decode_document(_decoder.decode, value)
     except ValueError as e:
-        _log.error("the leader's row can't be decoded and is treated as absent: {}", e)
+        _log.error("the leader's row can't be decoded, so its leader is unknown: {}", e)
         return None
 
 
--- a/laburnumhatch/coordination/recorded_owners.py
+++ b/laburnumhatch/coordination/recorded_owners.py
@@ -8,6 +8,7 @@
 
 from ..keyspace import LeaseTiming, OwnershipMap, ServiceLeases, decode_record
 from ..keyspace.lost_history import adopt_outdated_record, unknown_leases_end
+from ..keyspace.row import ServiceRecord, decode_last_token
 from ..keyspace.service_leases import adopt_record
 from .store import StoredRow, generation_of
 
@@ -27,6 +28,8 @@
     generation : int
         Generation of the store in which the rows were read.
     services : dict of str to ServiceLeases
+    unreadable : set of str
+        Services whose row tells nothing. Their keys can't be granted, under any token.
     unrecorded_until : timedelta
         Instant until which leases may be left of which there is no record.
     long_holds_until : timedelta
@@ -35,6 +38,7 @@
 
     generation: int
     services: dict[str, ServiceLeases] = field(default_factory=dict)
+    unreadable: set[str] = field(default_factory=set)
     unrecorded_until: timedelta = LONG_AGO
     long_holds_until: timedelta = LONG_AGO
 
@@ -83,18 +87,17 @@
     if lease_duration > timing.lease_duration:
         owners.long_holds_until = timing.latest_expiry(now, lease_duration)
     for row in rows:
-        try:
-            record = decode_record(row.value)
-        except ValueError as e:
-            _log.error("the ownership record of service {} can't be decoded: {}", row.key, e)
+        record = _decode(row)
+        if record is None:
+            owners.unreadable.add(row.key)
             continue
         leases = owners.services[row.key] = ServiceLeases(row.key, row_version=row.version)
         if record.generation >= generation_of(row.version):
             adopt_record(leases, record, timing, lease_duration, local_time_after, now)
             continue
         _log.warning(
-            "the ownership record of service {} is older than the last one: its keys are granted "
-            "anew once no lost lease can be left",
+            "the ownership record of service {} does not tell the last owners: its keys are "
+            "granted anew once no unknown lease can be left",
             row.key,
         )
         adopt_outdated_record(leases, record, generation, timing, now, known_maps.get(row.key))
@@ -102,3 +105,19 @@
         owners.long_holds_until = max(owners.long_holds_until, unknown_end)
     _log.info("restored the leases of {} services", len(owners.services))
     return owners
+
+
+def _decode(row: StoredRow) -> ServiceRecord | None:
+    """Return a row's record, without ranges if only its last token can be read."""
+    try:
+        return decode_record(row.value)
+    except ValueError as e:
+        last_token = decode_last_token(row.value)
+        _log.error(
+            "the ownership record of service {} can't be decoded: {}; its last token is {}",
+            row.key,
+            e,
+            last_token,
+        )
+    # The tokens of an earlier generation, of which there is none.
+    return None if last_token is None else ServiceRecord(last_token, (), -1)
--- a/laburnumhatch/coordination/tests/test_leadership.py
+++ b/laburnumhatch/coordination/tests/test_leadership.py
@@ -108,6 +108,14 @@
 WAIT = TIMING.authority_duration + TIMING.clock_margin
 
 
+def test_unknown_leader_of_an_undecodable_row_is_waited_for(leadership):
+    leadership.observe_row(StoredRow("leader", b"\xff", 5), START)
+    assert not leadership.may_take_over(START + WAIT)
+    assert leadership.may_take_over(START + WAIT + milliseconds(1))
+    leadership.consider_predecessor(START + WAIT)
+    assert leadership.no_moves_before == START + WAIT + TIMING.resumption_limit
+
+
 @pytest.mark.parametrize("knows_owners", [False, True])
 def test_leader_counts_with_lost_leases_unless_it_knew_the_owners(leadership, knows_owners):
     leadership.confirm_write(row("a/1", 5), START, START)
--- a/laburnumhatch/coordination/tests/test_start_of_leaders.py
+++ b/laburnumhatch/coordination/tests/test_start_of_leaders.py
@@ -7,6 +7,7 @@
 
 from datetime import timedelta
 
+import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 
@@ -355,3 +356,21 @@
     record = decode_leader(store.rows["leader", "leader"].value)
     assert record.member == successor and record.has_resigned
     assert record.long_holds
+
+
+@pytest.mark.parametrize("value", [b"\xc1", msgspec.msgpack.encode([9, "later build"])])
+def test_record_that_can_not_be_decoded_is_not_overwritten_as_if_it_were_absent(clock, value):
+    start = Start(clock)
+    leader = start.begin()
+    store = start.cluster.store
+    start.cluster.crash(leader)
+    last_token = decode_record(store.rows["keys", "s"].value).last_token
+    if value[0] == 0x92:
+        value = msgspec.msgpack.encode([last_token, "later build"])
+    store.put(("keys", "s"), value)
+    start.run(SETTLING_S)
+    if value[0] == 0x92:
+        # The last token is known, so keys are granted anew once no unknown lease is left.
+        assert all_keys_held(start.cluster)
+    else:
+        assert store.rows["keys", "s"].value == value
--- a/laburnumhatch/coordination/writer.py
+++ b/laburnumhatch/coordination/writer.py
@@ -245,8 +245,9 @@
         return encode_leader(record)
 
     def _max_former_lease_duration(self) -> timedelta:
-        record = self._leadership.record
-        if record is None or (record.has_resigned and not record.long_holds):
+        row, record = self._leadership.row, self._leadership.record
+        has_no_leader = row is None if record is None else record.has_resigned
+        if has_no_leader and (record is None or not record.long_holds):
             return self._lease_timing.lease_duration
         # The former leader may have lost the store and then granted the longest lease duration.
         return self._lease_timing.max_lease_duration
--- a/laburnumhatch/keyspace/row.py
+++ b/laburnumhatch/keyspace/row.py
@@ -11,7 +11,14 @@
 from ..fleet import UpstreamIncarnation
 from .lease import RangeLease
 
-__all__ = ["RecordedRange", "ServiceRecord", "decode_record", "encode_record", "record_of"]
+__all__ = [
+    "RecordedRange",
+    "ServiceRecord",
+    "decode_last_token",
+    "decode_record",
+    "encode_record",
+    "record_of",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +192,19 @@
     return ServiceRecord(row.last_token, tuple(ranges), row.generation)
 
 
+def decode_last_token(value: bytes) -> int | None:
+    """Return the last token in a row's value, or None if that can't be read either.
+
+    It comes first, so that it is there for builds that can't read the ranges of later ones.
+    """
+    try:
+        decoded = decode_document(msgspec.msgpack.decode, value)
+    except ValueError:
+        return None
+    first = decoded[0] if isinstance(decoded, list) and decoded else None
+    return first if isinstance(first, int) and not isinstance(first, bool) else None
+
+
 def _ceil_milliseconds(time: timedelta | None) -> int:
     """Return a time in whole milliseconds, rounded up, or -1 for None."""
     return -1 if time is None else -(-time // milliseconds(1))
