Count with the longest lease of a former owner whose expiry is not recorded

The expiry of a former owner's lease is recorded in the store's time. After the store has come back from a copy, that time was unknown until the first write was answered, so the row lacked the expiries. A successor then counted the leases from its election with the duration that it found in the leader's row: 2.4 s after a resignation, although the former holders of a lost record may hold leases of 10 s or apply late grants for 12.5 s.

An expiry that isn't recorded counts as the longest now, and the store's time is taken from the answers by which a leader reads the rows, so the case is rarer. The new test fails on the code before.

--- a/laburnumhatch/coordination/member.py
+++ b/laburnumhatch/coordination/member.py
@@ -529,10 +529,12 @@
     async def _start_leading(self, tenure: Tenure) -> None:
         """Read the recorded owners, without which there is nothing that could write or grant."""
         while not tenure.is_over:
+            sent_at = self._clock.now()
             result = await self._store.read(KEYS_TABLE)
             if tenure.is_over:
                 return
             if isinstance(result, RowsRead):
+                self._store_clock.update(result.time, sent_at, self._clock.now())
                 self._begin_work(tenure, result.rows)
                 return
             self._reader.note_availability(False, result.reason)
@@ -605,11 +607,13 @@
         """Write the leader's rows again, on top of what the older copy holds."""
         while not tenure.is_over and generation == self._store.generation:
             owner_rows = await self._store.read(KEYS_TABLE)
+            sent_at = self._clock.now()
             leader_row = await self._store.read_row(LEADER_TABLE, LEADER_KEY)
             if tenure.is_over or generation != self._store.generation:
                 return
             if isinstance(owner_rows, RowsRead) and isinstance(leader_row, RowsRead):
                 if tenure.leader is not None and tenure.leader.generation != generation:
+                    self._store_clock.update(leader_row.time, sent_at, self._clock.now())
                     tenure.leader.rewrite(owner_rows.rows, generation)
                 self._observe_leader_row(leader_row.rows[0] if leader_row.rows else None)
                 if self._leadership.is_leader:
--- a/laburnumhatch/keyspace/lease.py
+++ b/laburnumhatch/keyspace/lease.py
@@ -30,6 +30,7 @@
     "FormerOwner",
     "LeaseTiming",
     "NEVER",
+    "UNKNOWN_OWNER",
     "Phase",
     "RangeLease",
     "begin_move",
@@ -41,6 +42,8 @@
 ]
 
 NEVER = timedelta(days=-1)
+# Former owner of a range whose holders are not known. It has no address, so it gets no orders.
+UNKNOWN_OWNER = UpstreamIncarnation("", 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/laburnumhatch/keyspace/lost_history.py
+++ b/laburnumhatch/keyspace/lost_history.py
@@ -6,8 +6,15 @@
 
 from datetime import timedelta
 
-from ..fleet import UpstreamIncarnation
-from .lease import MAX_APPLICATION_DELAY, NEVER, FormerOwner, LeaseTiming, Phase, RangeLease
+from .lease import (
+    MAX_APPLICATION_DELAY,
+    NEVER,
+    UNKNOWN_OWNER,
+    FormerOwner,
+    LeaseTiming,
+    Phase,
+    RangeLease,
+)
 from .ownership_map import OwnershipMap
 from .row import RecordedRange, ServiceRecord
 from .service_leases import ServiceLeases
@@ -20,8 +27,6 @@
     "unknown_leases_end",
 ]
 
-# Former owner of a range whose holders are not known. It has no address, so it gets no orders.
-UNKNOWN_OWNER = UpstreamIncarnation("", 0)
 # Number of fencing tokens that are skipped for each generation of the store. Within the seconds
 # that a copy is older, far fewer are allocated.
 TOKENS_PER_GENERATION = 1_000_000
--- a/laburnumhatch/keyspace/service_leases.py
+++ b/laburnumhatch/keyspace/service_leases.py
@@ -14,6 +14,7 @@
 from .lease import (
     FENCING_LEASE_DURATION,
     MAX_APPLICATION_DELAY,
+    UNKNOWN_OWNER,
     FormerOwner,
     LeaseTiming,
     Phase,
@@ -176,7 +177,12 @@
         if not recorded.is_token_acknowledged:
             lease.new_token_deadline = now + MAX_APPLICATION_DELAY
         if recorded.former is not None:
-            until = _former_expiry(recorded, timing, local_time_after, now) or latest
+            until = _former_expiry(recorded, timing, local_time_after, now)
+            if until is None:
+                # The writer may have counted with leases of any leader before it.
+                until = timing.latest_expiry(now, timing.max_lease_duration)
+                if recorded.former == UNKNOWN_OWNER:
+                    until = max(until, now + MAX_APPLICATION_DELAY)
             if recorded.is_former_possibly_fenced:
                 # The fencing grant may be applied late, and its token is new to that owner.
                 until = max(until, now + MAX_APPLICATION_DELAY)
--- a/laburnumhatch/keyspace/tests/test_lost_history.py
+++ b/laburnumhatch/keyspace/tests/test_lost_history.py
@@ -1,15 +1,19 @@
 """Keys have at most one holder when the store comes back from an older copy."""
 
 import itertools
+from datetime import timedelta
 
 import pytest
 
-from ..lease import NEVER
+from ...fleet import UpstreamIncarnation
+from ..lease import MAX_APPLICATION_DELAY, NEVER, UNKNOWN_OWNER, LeaseTiming
 from ..lost_history import adopt_outdated_record
-from ..service_leases import adopt_record
+from ..row import RecordedRange, ServiceRecord
+from ..service_leases import ServiceLeases, adopt_record
 from .lease_world import KEY_COUNT, DoubleOwnership, LeaseWorld, Network
 
 STEPS = 1500
+TIMING = LeaseTiming()
 RELIABLE = Network(0.0, 0.0, 0.0)
 LOSSY = Network(0.1, 0.1, 0.1)
 DELAYING = Network(0.02, 0.05, 0.4)
@@ -24,6 +28,18 @@
     world.run(STEPS)
 
 
+@pytest.mark.parametrize("former", [UpstreamIncarnation("u1", 1), UNKNOWN_OWNER])
+def test_former_owner_whose_expiry_is_not_recorded_may_hold_the_longest_lease(former):
+    recorded = RecordedRange(0, 9, UpstreamIncarnation("u2", 1), 4, former, 2)
+    leases, now = ServiceLeases("s"), timedelta(seconds=50)
+    adopt_record(
+        leases, ServiceRecord(4, (recorded,)), TIMING, TIMING.lease_duration, lambda time: time, now
+    )
+    latest = TIMING.latest_expiry(now, TIMING.max_lease_duration)
+    late_grant = now + MAX_APPLICATION_DELAY if former == UNKNOWN_OWNER else now
+    assert leases.leases[0].former.expires_at == max(latest, late_grant)
+
+
 def test_all_keys_are_held_again_after_the_store_forgot():
     worlds = [LeaseWorld(seed, RELIABLE, forgets=True) for seed in range(25)]
     for world in worlds:
