Walk all ways to the leadership with what may happen before the owners are known

Ten ways in which a member becomes the leader, eleven events between the election and the read of the owners, five fates of that read and four of the leader's writes, in memory. The suite plays each pair of way, event and read with one fate of the writes. Checked are holders and tokens of keys, that no recorded last token goes back, that no lease lasts longer than the leader counts with, that there is one leader, and that all keys are held again at the end.

--- a/laburnumhatch/coordination/tests/test_start_of_leaders.py
+++ b/laburnumhatch/coordination/tests/test_start_of_leaders.py
@@ -1,4 +1,4 @@
-"""Ways in which a member becomes the leader, with what may happen before it knows the owners.
+"""All ways in which a member becomes the leader, with what may happen before it knows the owners.
 
 Each case takes one way to the leadership, one event between the election and the read of the
 recorded owners, one fate of that read, and one of the leader's writes at that time. The cluster
@@ -6,6 +6,7 @@
 """
 
 from datetime import timedelta
+from itertools import product
 
 import msgspec
 import pytest
@@ -284,6 +285,20 @@
     return start
 
 
+# Each pair of a way, an event and a read is played with one of the writes, which take turns.
+CASES = [
+    (way, event, read, WRITES[(w + e + r) % len(WRITES)])
+    for (w, way), (e, event), (r, read) in product(
+        enumerate(WAYS), enumerate(EVENTS), enumerate(READS)
+    )
+]
+
+
+@pytest.mark.parametrize(("way", "event", "read", "write"), CASES)
+def test_no_order_gives_a_key_two_holders_or_a_used_token(clock, way, event, read, write):
+    play(clock, way, event, read, write)
+
+
 def test_change_of_the_registry_before_the_read_does_not_overwrite_the_record(clock):
     # A renewal carried an empty record, and the keys were assigned anew under used tokens.
     start = play(clock, "after_a_resignation", "registry_change", "lost", "answered")
