Close the sending side of a caller's connection first, and keep the socket until all is read

Cause: the socket was closed in both directions as soon as the kernel had taken the last answer. What the caller sends after that, before it can have read that the connection closes, arrives at a socket that is gone: the kernel resets the connection and drops what the caller hasn't received. The same held for connections that are closed as idle while their caller still reads, and for those closed at the idle timeout.

Change: a close ends the sending side. The socket stays, unread, until the caller has closed it too, or for a second after it has received everything (RFC 9112, section 9.6), and at most for the idle timeout as before. Nothing is read meanwhile: a request that crosses the close is neither taken nor counted as read. Such connections are the first that are closed for others if connections are short.

Ruled out: the exit of the process, which came seconds later.

--- a/laburnumhatch/transport/caller_connection.py
+++ b/laburnumhatch/transport/caller_connection.py
@@ -6,7 +6,7 @@
 
 import h11
 import logbook
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Protocol as StreamProtocol
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
@@ -18,7 +18,7 @@
 from .input_buffer import InputBuffer
 from .memory_budget import BodyHandling, HeldKind, fields_size
 from .outbound import MAX_EVENTS_PER_TURN
-from .peek import peek
+from .peek import has_undelivered_bytes, peek
 from .request_body import DiscardedBody, RequestBody
 from .request_checks import body_length, find_request_error
 from .request_cycle import RequestCycle
@@ -41,11 +41,16 @@
 # Time for which the rest of a body is read and discarded after its request has been answered. To
 # close the connection at once would reset it, and the caller might lose the answer.
 MAX_DISCARD_TIME = timedelta(seconds=2)
+# Time for which a socket is kept after a close has been delivered, unless the caller closes it
+# before. What a caller sends until it learns of the close would reset a socket that is gone, and
+# the caller would lose answers that it hasn't read (RFC 9112, section 9.6).
+LINGER_TIME = timedelta(seconds=1)
+LINGER_CHECK_INTERVAL = timedelta(milliseconds=100)
 
 _log = logbook.Logger("laburnumhatch.transport")
 
 
-@implementer(IPushProducer)
+@implementer(IHalfCloseableProtocol, IPushProducer)
 class CallerConnection(StreamProtocol):
     """HTTP/1.1 connection of a caller.
 
@@ -71,6 +76,9 @@
         self._is_turn_scheduled = False
         self._accepted_at = self.waiting_since = factory.clock.now()
         self._counted_input = 0
+        # When the socket is closed, once what was written is with the kernel, and the latest time.
+        self._lingers_until: timedelta | None = None
+        self._closes_by = timedelta()
         self.is_closed = False
 
     @property
@@ -84,7 +92,7 @@
     def close_rank(self) -> CloseRank | None:
         """When the connection is closed if connections are short; None for not at all."""
         if self.is_closed:
-            return None
+            return None if self._lingers_until is None else CloseRank.IDLE
         first = self._queue.first
         if first.is_over or not first.is_handled:
             return (
@@ -119,6 +127,16 @@
         self._queue.drop_all()
         self._queue.first.forget_request()
 
+    def readConnectionLost(self) -> None:
+        """End the connection, since a caller that closes it reads no answer."""
+        self.transport.connectionLost(connectionDone)
+
+    def writeConnectionLost(self) -> None:
+        """Keep the socket for a while after a close that is with the kernel."""
+        self._count_unsent(-self._unsent_bytes)
+        self._lingers_until = self.factory.clock.now() + LINGER_TIME
+        self._linger()
+
     def dataReceived(self, data: bytes) -> None:
         """Parse bytes of requests."""
         if self.is_closed:
@@ -196,7 +214,9 @@
 
     def close_for_others(self) -> bool:
         """Close the connection, since connections are short, unless a request has arrived on it."""
-        if self.close_rank is CloseRank.IDLE:
+        if self._lingers_until is not None:
+            self.transport.loseConnection()
+        elif self.close_rank is CloseRank.IDLE:
             if self._has_unread_bytes():
                 return False
             self._close()
@@ -476,11 +496,29 @@
             self._close()
 
     def _close(self) -> None:
-        """Close the connection once what has been written is sent."""
+        """Close the connection once what has been written is delivered.
+
+        What the caller sends meanwhile isn't read: it will get no answer.
+        """
         self._drop_input()
-        self._set_timer(self.factory.limits().idle_timeout, self.transport.abortConnection)
+        idle_timeout = self.factory.limits().idle_timeout
+        self._closes_by = self.factory.clock.now() + idle_timeout
+        self._set_timer(idle_timeout, self.transport.abortConnection)
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.transport.pauseProducing()
+        self.transport.loseWriteConnection()
+
+    def _linger(self) -> None:
+        """Close the socket once the caller has, or has had time to read what it received."""
+        now = self.factory.clock.now()
+        if has_undelivered_bytes(self.transport):
+            self._lingers_until = now + LINGER_TIME
+        assert self._lingers_until is not None
+        if now >= min(self._lingers_until, self._closes_by) or peek(self.transport) == b"":
+            self._clear_timer()
+            self.transport.loseConnection()
+        else:
+            self._set_timer(LINGER_CHECK_INTERVAL, self._linger)
 
     def _abort(self) -> None:
         """Reset the connection."""
--- a/laburnumhatch/transport/tests/conftest.py
+++ b/laburnumhatch/transport/tests/conftest.py
@@ -21,6 +21,9 @@
     def recv(self, size, flags=0):
         raise BlockingIOError
 
+    def fileno(self):
+        return -1
+
 
 class FakeTransport(StringTransport):
     """In-memory TCP transport."""
@@ -39,6 +42,10 @@
     def doWrite(self):
         pass
 
+    def loseWriteConnection(self):
+        # What is written is delivered at once.
+        self.disconnecting = True
+
     def abortConnection(self):
         self.is_aborted = True
         super().abortConnection()
