Leave the answers before one that breaks off to their caller

Cause: an answer that breaks off was ended with a reset, so that nobody takes it for complete. A reset drops what the caller hasn't received, also of the answers before.

Change: if an answer has been sent on the connection before, and the framing of the broken one shows that its end is missing (a length, or chunks, to a caller of HTTP/1.1 that didn't send HEAD), the connection is closed in order. Otherwise it is reset as before.

Evidence: the new test fails on the code before.

--- a/laburnumhatch/transport/caller_connection.py
+++ b/laburnumhatch/transport/caller_connection.py
@@ -76,6 +76,8 @@
         self._is_turn_scheduled = False
         self._accepted_at = self.waiting_since = factory.clock.now()
         self._counted_input = 0
+        # Whether an answer has been sent, which its caller may not have read.
+        self._has_answered = False
         # When the socket is closed, once what was written is with the kernel, and the latest time.
         self._lingers_until: timedelta | None = None
         self._closes_by = timedelta()
@@ -183,9 +185,16 @@
         self._advance()
 
     def on_response_broken_off(self, cycle: RequestCycle) -> None:
-        """Reset the connection, or close it after the responses before if none of it was sent."""
+        """End the connection after the responses before, and after what was sent of this one.
+
+        A reset would take those that the caller hasn't read. It is for a response whose framing
+        doesn't show that it is incomplete, or that is the only one.
+        """
         if cycle.is_first:
-            self._abort()
+            if self._has_answered and cycle.shows_its_end:
+                self._close()
+            else:
+                self._abort()
         self._queue.drop_behind(cycle)
 
     # Methods of `IPushProducer`.
@@ -243,6 +252,7 @@
     def _leave_first(self) -> bool:
         """Make the next request the first; return whether there may be one on the connection."""
         done = self._queue.first
+        self._has_answered = True
         if not (done.http.our_state is h11.DONE and done.http.their_state is h11.DONE):
             self._close_after_body(done)
             return False
--- a/laburnumhatch/transport/request_cycle.py
+++ b/laburnumhatch/transport/request_cycle.py
@@ -86,6 +86,8 @@
         self.is_body_withheld = False
         self.is_discarding = False
         self.is_over = False
+        # Whether the framing of the response shows its end, or that it is missing.
+        self.shows_its_end = False
 
     @property
     def is_open(self) -> bool:
@@ -120,6 +122,8 @@
             response_fields.append((b"transfer-encoding", b"chunked"))
         if self._connection.must_close_after(self) or self.http.their_state is h11.SEND_BODY:
             response_fields.append((b"connection", b"close"))
+        # A response to HTTP/1.0 may end with the connection, and one to HEAD with its header.
+        self.shows_its_end = self.http.their_http_version == b"1.1" and method != b"HEAD"
         reason = REASON_PHRASES.get(status, b"")
         self.send(h11.Response(status_code=status, headers=response_fields, reason=reason))
         if self.http.their_state is not h11.DONE:
@@ -200,6 +204,7 @@
         except h11.LocalProtocolError:
             # A response whose framing is wrong must not look complete.
             _log.exception("failed to send a response to a caller; breaking it off")
+            self.shows_its_end = False
             self.abort_response()
             return
         if not content:
--- a/laburnumhatch/transport/tests/test_lingering_close.py
+++ b/laburnumhatch/transport/tests/test_lingering_close.py
@@ -109,6 +109,33 @@
     assert received.endswith(WHOLE) and not was_reset
 
 
+@pytest_twisted.ensureDeferred
+async def test_answer_that_breaks_off_leaves_the_one_before_whole(server):
+    # The reset of the second answer took the first one, which the caller hadn't read.
+    await server.receive(b"1", b"2")
+    server.requests[0].respond(200, [], WHOLE)
+    server.requests[1].begin(200, [], 1000)
+    server.requests[1].write(b"part")
+    server.requests[1].abort_response()
+    received, _ = await server.read()
+    first, _, rest = received.partition(WHOLE)
+    assert first.startswith(b"HTTP/1.1 200") and rest.endswith(b"part")
+
+
+@pytest.mark.parametrize("request_head", [b"HEAD /2 HTTP/1.1", b"GET /2 HTTP/1.0"])
+@pytest_twisted.ensureDeferred
+async def test_answer_whose_end_only_the_connection_shows_is_reset(server, request_head):
+    await server.receive(b"1")
+    server.requests[0].respond(200, [], b"fine")
+    server.caller.sendall(request_head + b"\r\nHost: h.example\r\n\r\n")
+    await server.until(lambda: len(server.requests) == 2, "request")
+    server.requests[1].begin(200, [], None)
+    server.requests[1].write(b"part")
+    server.requests[1].abort_response()
+    _, was_reset = await server.read()
+    assert was_reset
+
+
 @pytest.mark.parametrize("end", ["caller closes", "time is over", "connections are short"])
 @pytest_twisted.ensureDeferred
 async def test_closed_connection_does_not_stay(server, end):
