Let the fuzzed connection end its sending side

The transport of the fuzz target for callers' requests lacked the call by which a connection is closed since. The daemon isn't touched. The target for rows of owners decodes the last token by itself, too.

--- a/laburnumhatch/fuzzing/targets.py
+++ b/laburnumhatch/fuzzing/targets.py
@@ -26,7 +26,7 @@
 )
 from ..fleet import CallerLimits, Upstream, UpstreamIncarnation
 from ..keyspace import ServiceRecord, decode_record, encode_record
-from ..keyspace.row import RecordedRange
+from ..keyspace.row import RecordedRange, decode_last_token
 from ..links import LINK_MESSAGES, Codec
 from ..links.codec import MessageInvalid
 from ..platform import headers
@@ -76,6 +76,9 @@
     def doWrite(self) -> None:
         pass
 
+    def loseWriteConnection(self) -> None:
+        self.disconnecting = True
+
 
 class _Receiver:
     """Receiver that checks that a response ends once."""
@@ -104,6 +107,7 @@
 
 
 def _decode_owner_record(parts: Sequence[bytes]) -> None:
+    decode_last_token(b"".join(parts))
     with contextlib.suppress(ValueError):
         decode_record(b"".join(parts))
 
